Serve the users' platform: routes, feed of the store, relay and the adapter platform/

Cause: the product served only its own interface; the users' platform needs requests passed on byte for byte, a store with watches, and targets that list themselves. Added: pkg/route (table, roster), internal/feed (copy of the store, members), internal/relay (calls and streams, decisions of pkg/engine, pkg/generation and pkg/booking), platform/ (translation only), cmd/bambooferryd. generation.Stream learns to run one attempt at a time (Exclusive).

--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -46,8 +46,11 @@
 type Network struct {
 	// Listener takes connections of other instances.
 	Listener net.Listener
-	// TLS returns the settings of each new link; nil means plain connections, on loopback only.
+	// TLS returns the settings of each new link; nil means plain connections.
 	TLS func() *tls.Config
+	// AllowPlain permits plain connections beyond the loopback interface, for deployments whose
+	// network between instances is private. It has no effect with TLS.
+	AllowPlain bool
 	// DialTimeout bounds the set-up of a link, in both directions.
 	DialTimeout time.Duration
 	// Dial opens connections; nil means the net package's dialer.
@@ -241,7 +244,7 @@
 }
 
 func (n *Network) open(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
-	if n.TLS == nil && !to.Addr().IsLoopback() {
+	if n.TLS == nil && !n.AllowPlain && !to.Addr().IsLoopback() {
 		return nil, &PlainError{Peer: to}
 	}
 	ctx, cancel := context.WithTimeout(ctx, n.DialTimeout)
--- /dev/null
+++ b/internal/relay/targets.go
@@ -0,0 +1,273 @@
+package relay
+
+import (
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"bambooferry.example/bambooferry/pkg/booking"
+	"bambooferry.example/bambooferry/pkg/engine"
+	"bambooferry.example/bambooferry/pkg/engine/policy"
+	"bambooferry.example/bambooferry/pkg/engine/policy/spread"
+	"bambooferry.example/bambooferry/pkg/generation"
+	"bambooferry.example/bambooferry/pkg/route"
+)
+
+const (
+	// lossMemory is how long the loss of targets counts against their data centre.
+	lossMemory = 2 * time.Second
+	// lossTargets is the number of targets of one data centre whose loss within lossMemory
+	// makes others go first.
+	lossTargets = 2
+	// nearDistance and farDistance are the round trips within and between data centres that
+	// hold until they are measured.
+	nearDistance = 200 * time.Microsecond
+	farDistance  = 3 * time.Millisecond
+)
+
+// Targets is what one instance knows of all targets; set its exported fields before the first call.
+type Targets struct {
+	DataCentre string
+	// RetryShare and RetryBurst bound what is sent again, as a share of requests and as a
+	// number saved up.
+	RetryShare float64
+	RetryBurst float64
+	Seed       uint64
+
+	mu    sync.RWMutex
+	pools map[string]*pool
+}
+
+// pool is what is known of one pool.
+type pool struct {
+	mu      sync.Mutex
+	model   *route.Model
+	targets []route.Target
+	engines engine.Pool
+	gaps    generation.Gaps
+	delay   booking.Delay
+	budget  booking.Budget
+	lost    map[string]loss
+}
+
+// loss is the last loss of a target.
+type loss struct {
+	at         time.Time
+	dataCentre string
+}
+
+// Update takes in the pools of a table and the targets of a roster.
+func (s *Targets) Update(table *route.Table, targets map[string][]route.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.pools
+	s.pools = map[string]*pool{}
+	for _, name := range table.Pools() {
+		p := old[name]
+		if p == nil {
+			p = s.newPool()
+		}
+		conf, _ := table.Pool(name)
+		p.update(conf.Model, targets[name])
+		s.pools[name] = p
+	}
+}
+
+func (s *Targets) newPool() *pool {
+	chosen, err := policy.New(spread.Name, s.Seed)
+	if err != nil {
+		panic(err) // the policy is linked in by this file
+	}
+	return &pool{
+		engines: engine.Pool{Policy: chosen}, lost: map[string]loss{},
+		budget: booking.Budget{Share: s.RetryShare, Burst: s.RetryBurst},
+	}
+}
+
+func (s *Targets) pool(name string) *pool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.pools[name]
+}
+
+func (p *pool) update(m *route.Model, targets []route.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.model, p.targets = m, targets
+	names := make([]string, 0, len(targets))
+	for _, t := range targets {
+		names = append(names, t.ID)
+	}
+	p.engines.Keep(names)
+}
+
+// question is what a target is chosen for.
+type question struct {
+	avoid []string
+	// prefer is taken if it is open.
+	prefer string
+	// awayFrom is a data centre that is taken only if there is no other, or empty.
+	awayFrom string
+}
+
+// choose returns a target and the load that it was chosen with.
+func (p *pool) choose(now time.Time, dataCentre string, q question) (route.Target, float64, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	bad := p.lostCentres(now)
+	if q.awayFrom != "" {
+		bad = append(bad, q.awayFrom)
+	}
+	for _, passes := range []func(t *route.Target) bool{
+		func(t *route.Target) bool { return t.ID == q.prefer && !slices.Contains(q.avoid, t.ID) },
+		func(t *route.Target) bool {
+			return !slices.Contains(bad, t.DataCentre) && !slices.Contains(q.avoid, t.ID)
+		},
+		func(t *route.Target) bool { return !slices.Contains(q.avoid, t.ID) },
+		func(*route.Target) bool { return len(q.avoid) > 0 },
+	} {
+		if c, ok := p.engines.Pick(now, p.open(dataCentre, passes), nil, nil); ok {
+			return p.find(c.Name), c.Load, true
+		}
+	}
+	return route.Target{}, 0, false
+}
+
+// open returns the targets that take new work and pass a filter.
+func (p *pool) open(dataCentre string, passes func(t *route.Target) bool) []engine.Open {
+	var list []engine.Open
+	for i := range p.targets {
+		t := &p.targets[i]
+		if t.Leaving || !passes(t) {
+			continue
+		}
+		distance := farDistance
+		if t.DataCentre == dataCentre {
+			distance = nearDistance
+		}
+		list = append(list, engine.Open{Name: t.ID, Slots: t.Slots, Distance: distance})
+	}
+	return list
+}
+
+func (p *pool) find(id string) route.Target {
+	for _, t := range p.targets {
+		if t.ID == id {
+			return t
+		}
+	}
+	return route.Target{}
+}
+
+// at returns the target at an address.
+func (p *pool) at(a netip.AddrPort) (route.Target, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range p.targets {
+		if t.Address == a && !t.Leaving {
+			return t, true
+		}
+	}
+	return route.Target{}, false
+}
+
+// lostCentres returns the data centres that lately lost several targets.
+func (p *pool) lostCentres(now time.Time) []string {
+	counts := map[string]int{}
+	for id, l := range p.lost {
+		if now.Sub(l.at) > lossMemory {
+			delete(p.lost, id)
+			continue
+		}
+		counts[l.dataCentre]++
+	}
+	var bad []string
+	for dc, n := range counts {
+		if n >= lossTargets {
+			bad = append(bad, dc)
+		}
+	}
+	return bad
+}
+
+// sent notes that a request goes to a target.
+func (p *pool) sent(now time.Time, t route.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.engines.Sent(now, t.ID, nil)
+}
+
+// ended notes how a request went at a target.
+func (p *pool) ended(now time.Time, t route.Target, r engine.Result, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.engines.Ended(now, t.ID, r, took)
+	if r.Unreachable {
+		p.lost[t.ID] = loss{at: now, dataCentre: t.DataCentre}
+	}
+}
+
+// lostSince reports whether a target was lost after a time.
+func (p *pool) lostSince(id string, since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, ok := p.lost[id]
+	return ok && l.at.After(since)
+}
+
+// report takes in a load that a target told.
+func (p *pool) report(t route.Target, l *engine.Load) {
+	if l == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.engines.Report(t.ID, *l)
+}
+
+// earn counts a first sending, spend takes leave for a further one.
+func (p *pool) earn() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.Earn()
+}
+
+func (p *pool) spend() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.Spend()
+}
+
+// patience returns the silence time-outs of the pool's streams.
+func (p *pool) patience(base generation.Patience) generation.Patience {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.gaps.Patience(base)
+}
+
+func (p *pool) sawGap(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gaps.Next(d)
+}
+
+func (p *pool) sawAnswer(took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay.Saw(took)
+}
+
+// hedgeDelay returns the time after which a repeatable request is sent to a second target.
+func (p *pool) hedgeDelay() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.delay.Value()
+}
+
+// backups reports whether the pool's engines copy the memory of their runs.
+func (p *pool) backups() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.model != nil && p.model.Backups
+}
--- a/pkg/generation/loss.go
+++ b/pkg/generation/loss.go
@@ -62,7 +62,9 @@
 	switch ev.Kind {
 	case Closed:
 		s.doubtful = true
-		s.strays = append(s.strays, a)
+		if !s.Exclusive {
+			s.strays = append(s.strays, a)
+		}
 	case Missing:
 		s.missing = s.missing || a.target == s.Target
 	case Unplaced:
@@ -76,7 +78,7 @@
 // A target whose connection was lost is asked for its record first, but not
 // again when the reattached connection was lost before it brought a token.
 func (s *Stream) replace(now time.Time, a *attempt, ev Event) {
-	again := a.way != Reattach || a.flowing
+	again := (a.way != Reattach || a.flowing) && !s.Exclusive
 	if ev.Kind == Closed && a.accepted && a.target != "" && again && s.tries <= quickTries {
 		s.begin(now, Reattach, a.target, "connection_lost")
 		return
@@ -130,7 +132,11 @@
 // waitEnd returns when the stream gives up if no token comes.
 func (s *Stream) waitEnd() time.Time {
 	if s.Position == 0 && !s.accepted {
-		return s.progressAt.Add(min(s.ResumeWait, firstWait))
+		wait := s.FirstWait
+		if wait == 0 {
+			wait = firstWait
+		}
+		return s.progressAt.Add(min(s.ResumeWait, wait))
 	}
 	return s.progressAt.Add(s.ResumeWait)
 }
@@ -153,6 +159,14 @@
 // An accepted attempt may only have lost its connection, so its target is asked
 // again on a new one first. A target that does not even accept is left.
 func (s *Stream) silence(now time.Time, a *attempt) {
+	if s.Exclusive {
+		s.remove(a)
+		s.leave(a, SilentAgain, nil)
+		s.doubtful = true
+		s.shun(a.target)
+		s.again(now, SilentAgain)
+		return
+	}
 	if s.hopeful(a) {
 		s.shun(a.target)
 		return
--- a/pkg/generation/output.go
+++ b/pkg/generation/output.go
@@ -92,7 +92,7 @@
 }
 
 func (s *Stream) keep(text string) {
-	if s.lost {
+	if s.lost || s.Exclusive {
 		return
 	}
 	need := len(s.kept) + len(text)
--- a/pkg/generation/stream.go
+++ b/pkg/generation/stream.go
@@ -26,6 +26,11 @@
 	RetryWait time.Duration
 	// Patience holds until an attempt is accepted with its own.
 	Patience Patience
+	// Exclusive is set for targets that keep no record of a generation and must not run it
+	// twice: a lost or silent attempt is cancelled before the next one, which goes elsewhere.
+	Exclusive bool
+	// FirstWait bounds the wait for a target to accept the request; 0 means 3 s.
+	FirstWait time.Duration
 	// Seed spreads the retries of streams that lost their engines together.
 	Seed uint64
 
@@ -150,8 +155,8 @@
 		s.begin(now, Fresh, "", "first_attempt")
 		return
 	}
-	s.lost = s.Position > 0
-	if s.Target != "" {
+	s.lost = s.Position > 0 && !s.Exclusive
+	if s.Target != "" && !s.Exclusive {
 		s.begin(now, Reattach, s.Target, "cursor")
 		return
 	}
@@ -191,7 +196,7 @@
 
 // lookBack asks the last target for its record if it may have one, and goes elsewhere if not.
 func (s *Stream) lookBack(now time.Time, reason string) {
-	if s.Target != "" && !s.missing {
+	if s.Target != "" && !s.missing && !s.Exclusive {
 		s.begin(now, Reattach, s.Target, reason)
 		return
 	}
--- /dev/null
+++ b/pkg/route/roster.go
@@ -0,0 +1,127 @@
+package route
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// ReturnGrace is how long an entry that is missing after an outage of its source counts as present.
+//
+// Entries lapse while the source is away and are written again within about 2 s of its return.
+const ReturnGrace = 2200 * time.Millisecond
+
+// Target is one incarnation of a back end.
+type Target struct {
+	// ID names the incarnation.
+	ID         string         `json:"id"`
+	Pool       string         `json:"pool"`
+	Address    netip.AddrPort `json:"address"`
+	DataCentre string         `json:"data_centre"`
+	Version    string         `json:"version,omitempty"`
+	Slots      int            `json:"slots"`
+	// Leaving tells that the target takes no new work.
+	Leaving bool `json:"leaving,omitempty"`
+	// Born is the start of the incarnation, or the zero time if it is not known.
+	Born time.Time `json:"born"`
+}
+
+// entry is a target with what is known of its entry.
+type entry struct {
+	Target
+	// missing is when the entry was found to be gone after an outage, or the zero time.
+	missing time.Time
+}
+
+// Roster holds the targets that an instance may use; its zero value is ready for use.
+type Roster struct {
+	entries map[string]*entry
+	// graceEnds is until when a removed entry may only have lapsed in an outage.
+	graceEnds time.Time
+}
+
+// Put takes in a target's entry and reports whether it differs from what was known.
+func (r *Roster) Put(t Target) bool {
+	if r.entries == nil {
+		r.entries = map[string]*entry{}
+	}
+	old := r.entries[t.ID]
+	r.entries[t.ID] = &entry{Target: t}
+	return old == nil || old.Target != t
+}
+
+// Remove takes out an entry that was removed at its source, at once unless an outage may be the reason.
+func (r *Roster) Remove(now time.Time, id string) {
+	e := r.entries[id]
+	if e == nil {
+		return
+	}
+	if now.Before(r.graceEnds) {
+		if e.missing.IsZero() {
+			e.missing = now
+		}
+		return
+	}
+	delete(r.entries, id)
+}
+
+// Discard takes out an entry that can't be used.
+func (r *Roster) Discard(id string) { delete(r.entries, id) }
+
+// Keep takes out, as Remove does, each entry that is not listed.
+func (r *Roster) Keep(now time.Time, listed func(id string) bool) {
+	for id := range r.entries {
+		if !listed(id) {
+			r.Remove(now, id)
+		}
+	}
+}
+
+// Regained tells that the source answers again after an outage.
+func (r *Roster) Regained(now time.Time) { r.graceEnds = now.Add(ReturnGrace) }
+
+// Sweep takes out the entries that did not come back in time, and returns when to sweep again, or the zero time.
+func (r *Roster) Sweep(now time.Time) (next time.Time) {
+	for id, e := range r.entries {
+		if e.missing.IsZero() {
+			continue
+		}
+		if !now.Before(r.graceEnds) {
+			delete(r.entries, id)
+			continue
+		}
+		next = r.graceEnds
+	}
+	return next
+}
+
+// Targets returns the targets by pool, each sorted by id.
+//
+// Of two incarnations at one address only the later one is returned.
+func (r *Roster) Targets() map[string][]Target {
+	latest := make(map[netip.AddrPort]*entry, len(r.entries))
+	for _, e := range r.entries {
+		if old := latest[e.Address]; old == nil || later(e, old) {
+			latest[e.Address] = e
+		}
+	}
+	out := map[string][]Target{}
+	for _, e := range latest {
+		out[e.Pool] = append(out[e.Pool], e.Target)
+	}
+	for _, list := range out {
+		slices.SortFunc(list, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return out
+}
+
+// Len returns the number of entries.
+func (r *Roster) Len() int { return len(r.entries) }
+
+func later(a, b *entry) bool {
+	if !a.Born.Equal(b.Born) {
+		return a.Born.After(b.Born)
+	}
+	return a.ID > b.ID
+}
