Give up a watch that hears nothing within 2.7 s

Ruled out: stale reads (reads are linearizable), lost events (the log shows no watch answer for 5.1 s).

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -14,10 +14,13 @@
 )
 
 const (
-	// WatchWait bounds one watch. A watch whose connection has gone silent is given up after it
-	// and CallTimeout, which together stay under contact time plus the time for a change to apply.
-	WatchWait = 3500 * time.Millisecond
-	// CallTimeout bounds a read, and what a watch may take beyond its wait.
+	// WatchWait bounds one watch. A store that drops its history may leave watches unanswered; one
+	// that hears nothing is given up after WatchWait and watchMargin, within the 3 s after which
+	// the copy has to be current again.
+	WatchWait = 2 * time.Second
+	// watchMargin is what a watch may take beyond its wait; a slow store takes 300 ms.
+	watchMargin = 700 * time.Millisecond
+	// CallTimeout bounds a read.
 	CallTimeout = 1500 * time.Millisecond
 	// gather is the pause after a watch that brought changes, since each call has a price and
 	// changes come in groups; it is a small part of the 300 ms in which a change is to apply.
@@ -133,7 +136,7 @@
 		return true, f.read(ctx)
 	}
 	begun := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, WatchWait+CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, WatchWait+watchMargin)
 	defer cancel()
 	got, err := f.Source.Watch(ctx, f.Watch, f.Revision(), WatchWait)
 	f.observe("watch", begun, err)
