--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -23,8 +23,8 @@
 	// CallTimeout bounds a read.
 	CallTimeout = 1500 * time.Millisecond
 	// gather is the pause after a watch that brought changes, since each call has a price and
-	// changes come in groups; it is a small part of the 300 ms in which a change is to apply.
-	gather = 60 * time.Millisecond
+	// changes come in groups; it stays under the 300 ms in which a change is to apply.
+	gather = 200 * time.Millisecond
 	// firstPause and longestPause bound the pause after a call that failed.
 	firstPause   = 50 * time.Millisecond
 	longestPause = 600 * time.Millisecond
--- a/internal/feed/members.go
+++ b/internal/feed/members.go
@@ -75,8 +75,8 @@
 	return max(len(m.known), 1)
 }
 
-// others returns the addresses of the other members, and the seeds when there are none.
-func (m *Members) others() []netip.AddrPort {
+// Others returns the addresses of the other members, and the seeds when there are none.
+func (m *Members) Others() []netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var list []netip.AddrPort
@@ -93,7 +93,7 @@
 
 // Later asks two random members at a time until one has a copy later than a revision.
 func (m *Members) Later(ctx context.Context, after int64) (State, string, bool) {
-	list := m.others()
+	list := m.Others()
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	for len(list) > 0 && ctx.Err() == nil {
 		n := min(2, len(list))
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -59,6 +59,9 @@
 	// broken is set when the answer to the caller can't go on.
 	broken   bool
 	lastSent time.Time
+	// firstAfter and longestPause are what the caller saw.
+	firstAfter   time.Duration
+	longestPause time.Duration
 	// own is the target's own failure, which is passed on if no other target is asked.
 	own *reply
 }
@@ -329,6 +332,7 @@
 	}
 	if s.first.IsZero() {
 		s.first = now
+		st.q.pool.flowing(s.target)
 	}
 	st.do(st.gen.Step(now, generation.Event{Kind: generation.Received, Attempt: s.number, Position: id - st.offset, Text: string(raw)}))
 }
@@ -340,6 +344,11 @@
 		st.q.pool.sawGap(a.Gap)
 	}
 	st.relay.numbers.event(st.q, now, st.lastSent)
+	if st.lastSent.IsZero() {
+		st.firstAfter = now.Sub(st.q.begun)
+	} else {
+		st.longestPause = max(st.longestPause, now.Sub(st.lastSent))
+	}
 	st.write([]byte(a.Text))
 	st.lastSent = time.Now()
 	if st.lastSent.Sub(now) > slowWrite {
@@ -424,7 +433,9 @@
 			{Name: "events", Value: int64(st.gen.Position)},
 			{Name: "took_ms", Value: now.Sub(st.q.begun).Milliseconds()},
 			{Name: "attempts", Value: int64(st.q.attempts)},
-			{Name: "resumes", Value: int64(st.gen.Stats().Resumes)},
+			{Name: "first_event_ms", Value: st.firstAfter.Milliseconds()},
+			{Name: "longest_pause_ms", Value: st.longestPause.Milliseconds()},
+			{Name: "after_event", Value: int64(st.q.After)},
 		},
 	})
 }
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -37,6 +38,8 @@
 
 	mu    sync.RWMutex
 	pools map[string]*pool
+	// changed tells that what this instance has in progress at engines has changed.
+	changed chan struct{}
 }
 
 // pool is what is known of one pool.
@@ -49,6 +52,7 @@
 	delay   booking.Delay
 	budget  booking.Budget
 	lost    map[string]loss
+	changed chan struct{}
 }
 
 // loss is the last loss of a target.
@@ -59,8 +63,10 @@
 
 // Update takes in the pools of a table and the targets of a roster.
 func (s *Targets) Update(table *route.Table, targets map[string][]route.Target) {
+	changed := s.Changed()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.changed = changed
 	old := s.pools
 	s.pools = map[string]*pool{}
 	for _, name := range table.Pools() {
@@ -74,13 +80,53 @@
 	}
 }
 
+// Changed returns the channel that tells of changes of Own.
+func (s *Targets) Changed() chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.changed == nil {
+		s.changed = make(chan struct{}, 1)
+	}
+	return s.changed
+}
+
+// Own returns what this instance has in progress at model engines.
+func (s *Targets) Own() map[string]engine.Share {
+	out := map[string]engine.Share{}
+	for _, p := range s.all() {
+		p.mu.Lock()
+		if p.model != nil {
+			maps.Copy(out, p.engines.Own())
+		}
+		p.mu.Unlock()
+	}
+	return out
+}
+
+// Others takes in what another instance has in progress at model engines.
+func (s *Targets) Others(now time.Time, instance string, shares map[string]engine.Share) {
+	for _, p := range s.all() {
+		p.mu.Lock()
+		if p.model != nil {
+			p.engines.Others(now, instance, shares)
+		}
+		p.mu.Unlock()
+	}
+}
+
+func (s *Targets) all() []*pool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return slices.Collect(maps.Values(s.pools))
+}
+
 func (s *Targets) newPool() *pool {
 	chosen, err := policy.New(spread.Name, s.Seed)
 	if err != nil {
 		panic(err) // the policy is linked in by this file
 	}
 	return &pool{
-		engines: engine.Pool{Policy: chosen}, lost: map[string]loss{},
+		changed: s.changed, engines: engine.Pool{Policy: chosen}, lost: map[string]loss{},
 		budget: booking.Budget{Share: s.RetryShare, Burst: s.RetryBurst},
 	}
 }
@@ -196,6 +242,26 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.engines.Sent(now, t.ID, nil)
+	p.tell()
+}
+
+// flowing notes that a request has brought its first output.
+func (p *pool) flowing(t route.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.engines.Begun(t.ID)
+	p.tell()
+}
+
+// tell wakes the exchange with other instances; the caller holds mu.
+func (p *pool) tell() {
+	if p.model == nil {
+		return
+	}
+	select {
+	case p.changed <- struct{}{}:
+	default:
+	}
 }
 
 // ended notes how a request went at a target.
@@ -203,6 +269,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.engines.Ended(now, t.ID, r, took)
+	p.tell()
 	if r.Unreachable {
 		p.lost[t.ID] = loss{at: now, dataCentre: t.DataCentre}
 	}
--- a/pkg/engine/policy/policy.go
+++ b/pkg/engine/policy/policy.go
@@ -14,6 +14,8 @@
 	// Load is the estimated number of requests at the target, Slots what it can hold.
 	Load  float64
 	Slots int
+	// Pending is how many of them are known to have no output yet.
+	Pending int
 	// Wait is the estimated time until the target takes up new work.
 	Wait time.Duration
 	// Hit is the expected share of the prompt that the target has cached, from 0 to 1.
--- a/pkg/engine/policy/spread/spread.go
+++ b/pkg/engine/policy/spread/spread.go
@@ -17,6 +17,9 @@
 	jitter = 0.4
 	// farLoad is the load that the round trip to another data centre counts for, per millisecond.
 	farLoad = 0.01
+	// pendingLoad is the load that a request without output counts for besides its own: its
+	// prompt is read before the next one's and delays the output of all others.
+	pendingLoad = 1.5
 )
 
 func init() {
@@ -41,6 +44,6 @@
 
 // score is the load that a request would meet, in requests of a healthy target.
 func (p *picker) score(c policy.Candidate) float64 {
-	load := c.Load + 1 + jitter*p.rng.Float64() + farLoad*float64(c.Distance)/float64(time.Millisecond)
+	load := c.Load + 1 + pendingLoad*float64(c.Pending) + jitter*p.rng.Float64() + farLoad*float64(c.Distance)/float64(time.Millisecond)
 	return load / max(c.Weight, 0.01)
 }
--- a/pkg/engine/pool.go
+++ b/pkg/engine/pool.go
@@ -23,12 +23,16 @@
 	targets map[string]*target
 	prefill float64
 	service float64
+	others  map[string]others
 }
 
 // target is what is known of one target.
 type target struct {
-	load     Load
-	own      int
+	load Load
+	own  int
+	// pending is the number of own requests without output; it is kept only for those whose
+	// first output is told by Begun.
+	pending  int
 	sends    []time.Time
 	ends     []time.Time
 	prefixes prefixes
@@ -72,9 +76,10 @@
 			continue
 		}
 		t := p.target(o.Name)
-		load := t.estimate(now)
+		there := p.elsewhere(now, o.Name)
+		load := max(t.estimate(now), float64(t.own+there.Running))
 		list = append(list, policy.Candidate{
-			Name: o.Name, Load: load, Slots: o.Slots, Distance: o.Distance,
+			Name: o.Name, Load: load, Pending: t.pending + there.Pending, Slots: o.Slots, Distance: o.Distance,
 			Wait: p.wait(load, o.Slots), Prefill: time.Duration(p.prefill * float64(time.Second)),
 			Hit: t.prefixes.hit(now, blocks),
 		})
@@ -133,6 +138,7 @@
 func (p *Pool) Sent(now time.Time, name string, blocks []uint64) {
 	t := p.target(name)
 	t.own++
+	t.pending++
 	t.sends = remember(t.sends, now)
 	t.prefixes.computed(now, blocks)
 }
@@ -141,6 +147,7 @@
 func (p *Pool) Ended(now time.Time, name string, r Result, took time.Duration) {
 	t := p.target(name)
 	t.own = max(t.own-1, 0)
+	t.pending = min(t.pending, t.own)
 	t.ends = remember(t.ends, now)
 	if r.Cancelled {
 		return
