--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -73,7 +74,7 @@
 func (r *Relay) admit(now time.Time, q *query) *Refusal {
 	table, ok := TableKey.Get(r.Board)
 	if !ok {
-		return notRun(codeNoCatalogue, spreadRetry(startRetry))
+		return notRun(codeNoCatalogue, returnAfter(q.Patience))
 	}
 	q.table = table
 	if q.route, ok = table.Match(q.in.Host, pathOf(q.in)); !ok {
@@ -95,6 +96,21 @@
 	return nil
 }
 
+// returnAfter returns when a caller may return to a deployment that is starting without its store.
+//
+// Outages last seconds and callers return once, so they are spread over the longest time that
+// they accept.
+func returnAfter(patience time.Duration) time.Duration {
+	if patience <= 0 {
+		return spreadRetry(startRetry)
+	}
+	longest := patience / acceptedPart
+	return longest*3/5 + rand.N(longest*2/5+1)
+}
+
+// acceptedPart is the part of their remaining time, as a divisor, up to which callers accept to wait.
+const acceptedPart = 3
+
 // patienceOf returns how long the answer is waited for.
 func patienceOf(q *query) time.Duration {
 	d := q.Patience
