--- a/internal/loads/exchange.go
+++ b/internal/loads/exchange.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// gather is the shortest time between two messages to the same instance, per instance of the
-	// deployment, so that what an instance receives does not grow with their number.
-	gather = 4 * time.Millisecond
+	// gather is the shortest time between two messages, for each instance of the deployment, so
+	// that what an instance receives does not grow with their number.
+	gather = time.Millisecond
 	// renew is the time after which a message is repeated without a change, since datagrams are lost.
 	renew = time.Second
 	// maxDatagram bounds a message; longer ones are not sent and not read.
@@ -28,6 +28,8 @@
 	Instance string `json:"instance"`
 	// Shares holds the requests by target.
 	Shares map[string]engine.Share `json:"shares"`
+	// Lost names the targets whose connections were lately lost.
+	Lost []string `json:"lost,omitempty"`
 }
 
 // Exchange sends this instance's shares and takes those of others; set its exported fields before Run.
@@ -36,12 +38,12 @@
 	Instance string
 	// Members returns the addresses of the other instances.
 	Members func() []netip.AddrPort
-	// Own returns what this instance has in progress.
-	Own func() map[string]engine.Share
+	// Own returns what this instance has in progress, and the targets that it lately lost.
+	Own func(now time.Time) (shares map[string]engine.Share, lost []string)
 	// Changed tells that Own has changed.
 	Changed <-chan struct{}
-	// Take takes in the shares of another instance.
-	Take func(now time.Time, instance string, shares map[string]engine.Share)
+	// Take takes in what another instance tells.
+	Take func(now time.Time, instance string, shares map[string]engine.Share, lost []string)
 }
 
 // Run exchanges messages until ctx ends.
@@ -68,9 +70,10 @@
 			return ctx.Err()
 		}
 		members := x.Members()
-		shares := x.Own()
-		empty = len(shares) == 0
-		if err := x.tell(members, shares); err != nil {
+		m := message{Instance: x.Instance}
+		m.Shares, m.Lost = x.Own(time.Now())
+		empty = len(m.Shares) == 0
+		if err := x.tell(members, &m); err != nil {
 			return err
 		}
 		pause := time.NewTimer(gather * time.Duration(len(members)+1))
@@ -83,9 +86,9 @@
 	}
 }
 
-// tell sends the shares to all members. One that can't be reached learns of them later.
-func (x *Exchange) tell(members []netip.AddrPort, shares map[string]engine.Share) error {
-	data, err := json.Marshal(message{Instance: x.Instance, Shares: shares})
+// tell sends a message to all members. One that can't be reached is told with the next one.
+func (x *Exchange) tell(members []netip.AddrPort, m *message) error {
+	data, err := json.Marshal(m)
 	if err != nil {
 		return errors.Wrap(err, "loads")
 	}
@@ -111,7 +114,7 @@
 		}
 		m := message{}
 		if json.Unmarshal(buf[:n], &m) == nil && m.Instance != "" && m.Instance != x.Instance {
-			x.Take(time.Now(), m.Instance, m.Shares)
+			x.Take(time.Now(), m.Instance, m.Shares, m.Lost)
 		}
 	}
 }
--- /dev/null
+++ b/internal/relay/losses.go
@@ -0,0 +1,135 @@
+package relay
+
+import "time"
+
+const (
+	// lossMemory is how long the loss of a target counts against it and its data centre.
+	lossMemory = 2 * time.Second
+	// toldMemory is how long a loss is told to other instances.
+	toldMemory = time.Second
+	// centreTargets is the number of targets of one data centre whose loss within lossMemory
+	// makes those of others go first.
+	centreTargets = 2
+	// witnesses is the number of instances whose word is enough to take a target as lost: one
+	// alone may be cut off from it.
+	witnesses = 2
+)
+
+// losses knows which targets of a pool were lately lost; its owner guards it.
+type losses struct {
+	// own is when this instance last lost a connection to a target, told when others did, by
+	// target and instance.
+	own  map[string]time.Time
+	told map[string]map[string]time.Time
+}
+
+// saw notes that this instance lost a target.
+func (l *losses) saw(now time.Time, id string) { l.own[id] = now }
+
+// tell takes in the targets that another instance lost.
+func (l *losses) tell(now time.Time, instance string, ids []string) {
+	for _, id := range ids {
+		by := l.told[id]
+		if by == nil {
+			by = map[string]time.Time{}
+			l.told[id] = by
+		}
+		by[instance] = now
+	}
+}
+
+// recent returns the targets that other instances should hear of.
+func (l *losses) recent(now time.Time) []string {
+	var list []string
+	for id, at := range l.own {
+		if now.Sub(at) <= toldMemory {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// forget drops what is too old to count.
+func (l *losses) forget(now time.Time) {
+	for id, at := range l.own {
+		if now.Sub(at) > lossMemory {
+			delete(l.own, id)
+		}
+	}
+	for id, by := range l.told {
+		for instance, at := range by {
+			if now.Sub(at) > lossMemory {
+				delete(by, instance)
+			}
+		}
+		if len(by) == 0 {
+			delete(l.told, id)
+		}
+	}
+}
+
+// centres returns the data centres that lately lost several targets, by this instance's or by
+// several instances' word.
+func (l *losses) centres(now time.Time, centreOf func(id string) string) []string {
+	l.forget(now)
+	var bad []string
+	for dc, n := range l.count(centreOf) {
+		if n.own >= centreTargets || n.targets >= centreTargets && len(n.instances) >= witnesses {
+			bad = append(bad, dc)
+		}
+	}
+	return bad
+}
+
+// tally is what was lost in one data centre.
+type tally struct {
+	own       int
+	targets   int
+	instances map[string]bool
+}
+
+func (l *losses) count(centreOf func(id string) string) map[string]*tally {
+	counts := map[string]*tally{}
+	at := func(id string) *tally {
+		dc := centreOf(id)
+		if counts[dc] == nil {
+			counts[dc] = &tally{instances: map[string]bool{}}
+		}
+		return counts[dc]
+	}
+	for id := range l.own {
+		at(id).own++
+	}
+	for id, by := range l.told {
+		t := at(id)
+		t.targets++
+		for instance := range by {
+			t.instances[instance] = true
+		}
+	}
+	delete(counts, "")
+	return counts
+}
+
+// since reports whether a target was lost after a time: by this instance, by several others, or
+// by one other while its whole data centre seems to be lost.
+func (l *losses) since(now time.Time, id string, begun time.Time, centreOf func(id string) string) bool {
+	if l.own[id].After(begun) {
+		return true
+	}
+	n := 0
+	for _, at := range l.told[id] {
+		if at.After(begun) && now.Sub(at) <= lossMemory {
+			n++
+		}
+	}
+	if n == 0 || n >= witnesses {
+		return n > 0
+	}
+	for _, dc := range l.centres(now, centreOf) {
+		if dc == centreOf(id) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,9 +35,6 @@
 	leaveRotation = 2500 * time.Millisecond
 	// stopMargin is left of the grace to write the last log lines.
 	stopMargin = 400 * time.Millisecond
-	// streamGrace is the age of a stop from which streams are refused, since one that begins
-	// later would not end within the grace.
-	streamGrace = 1200 * time.Millisecond
 )
 
 // Relay passes requests to targets; set its exported fields before Run.
@@ -111,15 +108,6 @@
 	}
 }
 
-// stopAge returns the time since the stop began, or 0.
-func (r *Relay) stopAge(now time.Time) time.Duration {
-	at := r.stopping.Load()
-	if at == nil {
-		return 0
-	}
-	return max(now.Sub(*at), 1)
-}
-
 // answerReady answers the balancer: an instance takes requests while it knows a table and does not stop.
 func (r *Relay) answerReady(w http.ResponseWriter, _ *http.Request) {
 	_, known := TableKey.Get(r.Board)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -89,7 +89,8 @@
 	if q.pool = r.Targets.pool(q.poolName); q.pool == nil {
 		return notRun(codeNoTarget, spreadRetry(startRetry))
 	}
-	if age := r.stopAge(now); age > streamGrace && q.route.Kind == route.Streaming {
+	if q.route.Kind == route.Streaming && r.stopping.Load() != nil {
+		// It would probably not end within the grace, and another instance takes it at once.
 		return notRun(codeStopping, stopRetry)
 	}
 	q.deadline = now.Add(patienceOf(q))
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -19,12 +19,17 @@
 
 const (
 	// firstPatience bounds the wait for the first event until the pool's own times are known.
-	firstPatience = 3 * time.Second
+	firstPatience = 5 * time.Second
+	// resumePatience bounds the wait for the first event of an attempt that goes on.
+	resumePatience = 2500 * time.Millisecond
 	// nextPatience bounds the wait between events until the pool's own times are known.
 	nextPatience = 400 * time.Millisecond
 	// lookEvery is how often a stream that waits for its first event looks whether its target
 	// was lost by others.
 	lookEvery = 200 * time.Millisecond
+	// copyAge is the time after which an engine has sent the first parts of a run's memory to its
+	// backup; they are sent several times a second.
+	copyAge = 400 * time.Millisecond
 	// retryWait is the first pause of a stream that found no target.
 	retryWait = 100 * time.Millisecond
 	// slowWrite is the time of a write from which the caller counts as having held the stream back.
@@ -89,6 +94,15 @@
 
 var defaultStreamPatience = generation.Patience{First: firstPatience, Next: nextPatience, Answer: firstPatience}
 
+// patience returns the silence time-outs of the next attempt. One that goes on reads little.
+func (st *streamRun) patience() generation.Patience {
+	base := defaultStreamPatience
+	if st.gen.Position > 0 {
+		base.First, base.Answer = resumePatience, resumePatience
+	}
+	return st.q.pool.patience(base)
+}
+
 // turn begins an attempt, passes one event on, or waits for the next try.
 func (st *streamRun) turn() {
 	switch {
@@ -172,6 +186,7 @@
 	s := st.relay.begin(now, st.q, t, why, load)
 	s.number = a.Attempt
 	st.now = s
+	st.gen.Patience = st.patience()
 	st.open(s, send)
 }
 
@@ -189,7 +204,7 @@
 // choose prefers the engine that holds a copy of the run's memory.
 func (st *streamRun) choose(now time.Time, a *generation.Action) (route.Target, float64, bool) {
 	q := question{avoid: a.Avoid}
-	if st.backup.IsValid() && st.gen.Position > 0 {
+	if st.backup.IsValid() {
 		if t, ok := st.q.pool.at(st.backup); ok {
 			q.prefer = t.ID
 		}
@@ -220,6 +235,9 @@
 		st.close(engine.Result{Unreachable: st.ctx.Err() == nil}, false, "unreachable")
 	case err != nil:
 		st.ran++
+		if now.Sub(s.begun) >= copyAge {
+			st.backup = send.Backup
+		}
 		ev.Kind = generation.Closed
 		st.close(engine.Result{Unreachable: st.ctx.Err() == nil, Cancelled: st.ctx.Err() != nil}, false, lossWhy(err))
 	case s.refusedByTarget():
@@ -233,7 +251,7 @@
 		if st.failed(s, &ev) {
 			break
 		}
-		ev.Kind, ev.Patience = generation.Accepted, st.q.pool.patience(defaultStreamPatience)
+		ev.Kind, ev.Patience = generation.Accepted, st.patience()
 		st.backup = send.Backup
 		st.events = eventReader{in: bufio.NewReaderSize(s.res.Body, 512), raw: st.events.raw}
 		if !st.headed {
@@ -277,7 +295,7 @@
 	if s == nil || st.ctx.Err() != nil {
 		return time.Time{}, false
 	}
-	if st.q.pool.lostSince(s.target.ID, s.begun) {
+	if s.first.IsZero() && st.q.pool.lostSince(now, s.target.ID, s.begun) {
 		return time.Time{}, false
 	}
 	st.do(st.gen.Step(now, generation.Event{Kind: generation.Ticked}))
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -16,11 +16,6 @@
 )
 
 const (
-	// lossMemory is how long the loss of targets counts against their data centre.
-	lossMemory = 2 * time.Second
-	// lossTargets is the number of targets of one data centre whose loss within lossMemory
-	// makes others go first.
-	lossTargets = 2
 	// nearDistance and farDistance are the round trips within and between data centres that
 	// hold until they are measured.
 	nearDistance = 200 * time.Microsecond
@@ -51,16 +46,10 @@
 	gaps    generation.Gaps
 	delay   booking.Delay
 	budget  booking.Budget
-	lost    map[string]loss
+	lost    losses
 	changed chan struct{}
 }
 
-// loss is the last loss of a target.
-type loss struct {
-	at         time.Time
-	dataCentre string
-}
-
 // Update takes in the pools of a table and the targets of a roster.
 func (s *Targets) Update(table *route.Table, targets map[string][]route.Target) {
 	changed := s.Changed()
@@ -90,25 +79,28 @@
 	return s.changed
 }
 
-// Own returns what this instance has in progress at model engines.
-func (s *Targets) Own() map[string]engine.Share {
-	out := map[string]engine.Share{}
+// Own returns what this instance has in progress at model engines, and those that it lately lost.
+func (s *Targets) Own(now time.Time) (map[string]engine.Share, []string) {
+	shares := map[string]engine.Share{}
+	var lost []string
 	for _, p := range s.all() {
 		p.mu.Lock()
 		if p.model != nil {
-			maps.Copy(out, p.engines.Own())
+			maps.Copy(shares, p.engines.Own())
+			lost = append(lost, p.lost.recent(now)...)
 		}
 		p.mu.Unlock()
 	}
-	return out
+	return shares, lost
 }
 
-// Others takes in what another instance has in progress at model engines.
-func (s *Targets) Others(now time.Time, instance string, shares map[string]engine.Share) {
+// Others takes in what another instance has in progress at model engines, and which it lost.
+func (s *Targets) Others(now time.Time, instance string, shares map[string]engine.Share, lost []string) {
 	for _, p := range s.all() {
 		p.mu.Lock()
 		if p.model != nil {
 			p.engines.Others(now, instance, shares)
+			p.lost.tell(now, instance, lost)
 		}
 		p.mu.Unlock()
 	}
@@ -126,7 +118,7 @@
 		panic(err) // the policy is linked in by this file
 	}
 	return &pool{
-		changed: s.changed, engines: engine.Pool{Policy: chosen}, lost: map[string]loss{},
+		changed: s.changed, engines: engine.Pool{Policy: chosen}, lost: losses{own: map[string]time.Time{}, told: map[string]map[string]time.Time{}},
 		budget: booking.Budget{Share: s.RetryShare, Burst: s.RetryBurst},
 	}
 }
@@ -161,7 +153,7 @@
 func (p *pool) choose(now time.Time, dataCentre string, q question) (route.Target, float64, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	bad := p.lostCentres(now)
+	bad := p.lost.centres(now, p.centreOf)
 	if q.awayFrom != "" {
 		bad = append(bad, q.awayFrom)
 	}
@@ -218,24 +210,8 @@
 	return route.Target{}, false
 }
 
-// lostCentres returns the data centres that lately lost several targets.
-func (p *pool) lostCentres(now time.Time) []string {
-	counts := map[string]int{}
-	for id, l := range p.lost {
-		if now.Sub(l.at) > lossMemory {
-			delete(p.lost, id)
-			continue
-		}
-		counts[l.dataCentre]++
-	}
-	var bad []string
-	for dc, n := range counts {
-		if n >= lossTargets {
-			bad = append(bad, dc)
-		}
-	}
-	return bad
-}
+// centreOf returns the data centre of a target; the caller holds mu.
+func (p *pool) centreOf(id string) string { return p.find(id).DataCentre }
 
 // sent notes that a request goes to a target.
 func (p *pool) sent(now time.Time, t route.Target) {
@@ -271,16 +247,15 @@
 	p.engines.Ended(now, t.ID, r, took)
 	p.tell()
 	if r.Unreachable {
-		p.lost[t.ID] = loss{at: now, dataCentre: t.DataCentre}
+		p.lost.saw(now, t.ID)
 	}
 }
 
 // lostSince reports whether a target was lost after a time.
-func (p *pool) lostSince(id string, since time.Time) bool {
+func (p *pool) lostSince(now time.Time, id string, since time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l, ok := p.lost[id]
-	return ok && l.at.After(since)
+	return p.lost.since(now, id, since, p.centreOf)
 }
 
 // report takes in a load that a target told.
--- a/pkg/engine/policy/spread/spread.go
+++ b/pkg/engine/policy/spread/spread.go
@@ -12,6 +12,9 @@
 const Name = "least_spread"
 
 const (
+	// sample is the number of random candidates compared. The least loaded of all would be
+	// chosen by all instances at once before they hear of each other.
+	sample = 12
 	// jitter is the part of one request by which equal loads are told apart at random, so that
 	// instances that know the same do not choose the same target.
 	jitter = 0.4
@@ -32,16 +35,36 @@
 type picker struct{ rng *rand.Rand }
 
 func (p *picker) pick(_ time.Time, list []policy.Candidate) int {
-	best, least := 0, 0.0
-	for i, c := range list {
-		score := p.score(c)
-		if i == 0 || score < least {
+	best, least := -1, 0.0
+	first := p.rng.IntN(len(list))
+	step := p.step(len(list))
+	for n := range min(sample, len(list)) {
+		i := (first + n*step) % len(list)
+		score := p.score(list[i])
+		if best < 0 || score < least {
 			best, least = i, score
 		}
 	}
 	return best
 }
 
+// step returns a random step that visits different candidates of a list of n.
+func (p *picker) step(n int) int {
+	for {
+		step := 1 + p.rng.IntN(n)
+		if gcd(step, n) == 1 {
+			return step
+		}
+	}
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
 // score is the load that a request would meet, in requests of a healthy target.
 func (p *picker) score(c policy.Candidate) float64 {
 	load := c.Load + 1 + pendingLoad*float64(c.Pending) + jitter*p.rng.Float64() + farLoad*float64(c.Distance)/float64(time.Millisecond)
