--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -25,11 +25,13 @@
 // Targets is what one instance knows of all targets; set its exported fields before the first call.
 type Targets struct {
 	DataCentre string
-	// RetryShare and RetryBurst bound what is sent again, as a share of requests and as a
-	// number saved up.
+	// RetryShare and RetryBurst bound what all instances together send again, as a share of
+	// requests and as a number saved up.
 	RetryShare float64
 	RetryBurst float64
-	Seed       uint64
+	// Instances returns the number of instances, which share RetryBurst.
+	Instances func() int
+	Seed      uint64
 
 	mu    sync.RWMutex
 	pools map[string]*pool
@@ -65,6 +67,7 @@
 		}
 		conf, _ := table.Pool(name)
 		p.update(conf.Model, targets[name])
+		p.setBurst(max(s.RetryBurst/float64(max(s.Instances(), 1)), 1))
 		s.pools[name] = p
 	}
 }
@@ -119,7 +122,7 @@
 	}
 	return &pool{
 		changed: s.changed, engines: engine.Pool{Policy: chosen}, lost: losses{own: map[string]time.Time{}, told: map[string]map[string]time.Time{}},
-		budget: booking.Budget{Share: s.RetryShare, Burst: s.RetryBurst},
+		budget: booking.Budget{Share: s.RetryShare},
 	}
 }
 
@@ -275,6 +278,12 @@
 	p.budget.Earn()
 }
 
+func (p *pool) setBurst(burst float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.Burst = burst
+}
+
 func (p *pool) spend() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
