--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -30,9 +30,6 @@
 	maxCallerHeader = 64 << 10
 	// sweepEvery is the time between looks at idle connections.
 	sweepEvery = time.Second
-	// leaveRotation is how long a stopping instance takes new connections: the balancer asks
-	// once a second and takes an instance out after two misses.
-	leaveRotation = 2500 * time.Millisecond
 	// stopMargin is left of the grace to write the last log lines.
 	stopMargin = 400 * time.Millisecond
 )
@@ -49,8 +46,10 @@
 	Targets *Targets
 	Log     *timeline.Writer
 	Metrics *metrics.Set
-	// Grace is the time from a stop until the process is killed.
-	Grace time.Duration
+	// Grace is the time from a stop until the process is killed, Rotation the part of it in which
+	// new connections are still taken, since the balancer takes some time to look away.
+	Grace    time.Duration
+	Rotation time.Duration
 
 	conns    connPool
 	callers  callerConns
@@ -99,7 +98,7 @@
 	r.stopping.Store(&begun)
 	r.Log.Write(begun, timeline.Event{Kind: "instance_stopping", Inputs: []timeline.Input{{Name: "grace_ms", Value: r.Grace.Milliseconds()}}})
 	deadline := begun.Add(r.Grace - stopMargin)
-	time.Sleep(min(leaveRotation, time.Until(deadline)))
+	time.Sleep(min(r.Rotation, time.Until(deadline)))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := front.Shutdown(ctx); err != nil {
--- /dev/null
+++ b/pkg/route/route_test.go
@@ -0,0 +1,105 @@
+package route
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func testTable() *Table {
+	routes := []Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/", Kind: Repeatable, Shares: []Share{{Pool: "p", Weight: 1}}},
+		{Name: "long", Host: "A.example", Prefix: "/x/y/", Kind: Once, Shares: []Share{{Pool: "p", Weight: 90}, {Pool: "q", Weight: 10}}},
+		{Name: "open", Host: "b.example", Prefix: "/", Kind: Streaming, Public: true},
+	}
+	return NewTable(7, Limits{}, routes, []Pool{{Name: "p"}, {Name: "q"}}, map[string]*Workspace{"key": {Name: "w"}})
+}
+
+// Guards against requests that reach another route's targets.
+func TestMatch(t *testing.T) {
+	for name, c := range map[string]struct{ host, path, want string }{
+		"longest prefix":         {"a.example", "/x/y/z", "long"},
+		"shorter prefix":         {"a.example", "/x/yz", "short"},
+		"prefix without slash":   {"a.example", "/x", ""},
+		"port and case":          {"A.EXAMPLE:8080", "/x/1", "short"},
+		"other host":             {"c.example", "/x/1", ""},
+		"encoded slash stays":    {"a.example", "/x%2fy/", ""},
+		"all paths of a host":    {"b.example", "/any", "open"},
+		"dots are not resolved":  {"a.example", "/x/../b", "short"},
+		"double slashes are not": {"a.example", "//x/y/", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, ok := testTable().Match(c.host, c.path)
+			require.Equal(t, c.want != "", ok)
+			if ok {
+				require.Equal(t, c.want, r.Name)
+			}
+		})
+	}
+}
+
+// Guards against a route that takes requests without a known key, and against keys asked of public ones.
+func TestKeys(t *testing.T) {
+	table := testTable()
+	long, _ := table.Match("a.example", "/x/y/")
+	open, _ := table.Match("b.example", "/")
+	require.True(t, table.NeedsKey(long))
+	require.False(t, table.NeedsKey(open))
+	_, ok := table.Holder("other")
+	require.False(t, ok)
+	require.False(t, NewTable(1, Limits{}, []Route{*long}, nil, nil).NeedsKey(long))
+}
+
+// Guards against shares of traffic that do not follow the weights.
+func TestPickFollowsWeights(t *testing.T) {
+	long, _ := testTable().Match("a.example", "/x/y/")
+	counts := map[string]int{}
+	for n := range uint64(1000) {
+		counts[long.Pick(n)]++
+	}
+	require.Equal(t, map[string]int{"p": 900, "q": 100}, counts)
+	require.Empty(t, (&Route{}).Pick(3))
+}
+
+func testTarget(id, address string, born time.Duration) Target {
+	return Target{ID: id, Pool: "p", Address: netip.MustParseAddrPort(address), Born: t0.Add(born)}
+}
+
+// Guards against work for a target that is gone, and against forgetting all targets after an outage.
+func TestRosterAfterAnOutage(t *testing.T) {
+	r := Roster{}
+	r.Put(testTarget("a", "10.0.0.1:1", 0))
+	r.Put(testTarget("b", "10.0.0.2:1", 0))
+	r.Remove(t0, "a")
+	require.Equal(t, 1, r.Len(), "without an outage a removed entry goes at once")
+
+	r.Regained(t0.Add(time.Second))
+	r.Remove(t0.Add(1100*time.Millisecond), "b")
+	require.Equal(t, t0.Add(time.Second+ReturnGrace), r.Sweep(t0.Add(2*time.Second)))
+	require.Equal(t, 1, r.Len(), "its entry may only have lapsed in the outage")
+	r.Sweep(t0.Add(time.Second + ReturnGrace))
+	require.Zero(t, r.Len())
+}
+
+// Guards against losing a target whose entry came back in time.
+func TestRosterKeepsWhatComesBack(t *testing.T) {
+	r := Roster{}
+	r.Put(testTarget("a", "10.0.0.1:1", 0))
+	r.Regained(t0)
+	r.Keep(t0, func(string) bool { return false })
+	require.False(t, r.Put(testTarget("a", "10.0.0.1:1", 0)))
+	require.True(t, r.Sweep(t0.Add(time.Minute)).IsZero())
+	require.Equal(t, 1, r.Len())
+}
+
+// Guards against requests for the former incarnation at an address that is used again.
+func TestRosterTakesTheLaterIncarnation(t *testing.T) {
+	r := Roster{}
+	r.Put(testTarget("z-old", "10.0.0.1:1", 0))
+	r.Put(testTarget("a-new", "10.0.0.1:1", time.Second))
+	require.Equal(t, map[string][]Target{"p": {testTarget("a-new", "10.0.0.1:1", time.Second)}}, r.Targets())
+}
