--- /dev/null
+++ b/internal/feed/follower_test.go
@@ -0,0 +1,278 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// storeStub holds items and serves ranges and watches of them.
+type storeStub struct {
+	mu       sync.Mutex
+	items    map[string]Item
+	events   []Event
+	revision int64
+	// compacted is the revision up to which the history is gone.
+	compacted int64
+	down      bool
+	mute      bool
+	watches   int
+}
+
+func newStoreStub() *storeStub { return &storeStub{items: map[string]Item{}} }
+
+var errDown = errors.New("down")
+
+func (s *storeStub) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	it := Item{Key: key, Value: []byte(value), Revision: s.revision}
+	s.items[key] = it
+	s.events = append(s.events, Event{Item: it})
+}
+
+func (s *storeStub) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.items, key)
+	s.events = append(s.events, Event{Item: Item{Key: key, Revision: s.revision}, Removed: true})
+}
+
+func (s *storeStub) set(f func(s *storeStub)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s)
+}
+
+func (s *storeStub) Range(_ context.Context, prefix, after string) (Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return Page{}, errDown
+	}
+	p := Page{Revision: s.revision}
+	for k, it := range s.items {
+		if len(k) >= len(prefix) && k[:len(prefix)] == prefix && k > after {
+			p.Items = append(p.Items, it)
+		}
+	}
+	return p, nil
+}
+
+func (s *storeStub) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (Changes, error) {
+	ends := time.Now().Add(wait)
+	s.set(func(s *storeStub) { s.watches++ })
+	mute := false
+	for ctx.Err() == nil {
+		// A watch that was mute once gets no answer any more.
+		s.set(func(s *storeStub) { mute = mute || s.mute })
+		if c, done, err := s.poll(after, ends); done && !mute {
+			return c, err
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	return Changes{}, ctx.Err()
+}
+
+func (s *storeStub) poll(after int64, ends time.Time) (Changes, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.down:
+		return Changes{}, true, errDown
+	case after < s.compacted:
+		return Changes{}, true, &CompactedError{After: after}
+	}
+	c := Changes{Revision: s.revision}
+	for _, ev := range s.events {
+		if ev.Revision > after {
+			c.Events = append(c.Events, ev)
+		}
+	}
+	return c, len(c.Events) > 0 || time.Now().After(ends), nil
+}
+
+// copyStub is what a follower has applied.
+type copyStub struct {
+	mu    sync.Mutex
+	items map[string]string
+	last  Update
+	// regained counts the updates that told of the end of an outage.
+	regained int
+}
+
+func (c *copyStub) apply(_ time.Time, u Update) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if u.Whole || c.items == nil {
+		c.items = map[string]string{}
+	}
+	for _, it := range u.Changed {
+		c.items[it.Key] = string(it.Value)
+	}
+	for _, key := range u.Removed {
+		delete(c.items, key)
+	}
+	if !u.RegainedAt.IsZero() {
+		c.regained++
+	}
+	c.last = u
+}
+
+func (c *copyStub) get(key string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.items[key]
+}
+
+func (c *copyStub) outages() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.regained
+}
+
+func startFollower(t *testing.T, f *Follower) *copyStub {
+	t.Helper()
+	c := &copyStub{}
+	f.Prefixes, f.Apply = []string{"op/", "servers/"}, c.apply
+	f.Init()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return c
+}
+
+func has(t *testing.T, c *copyStub, key, value string, within time.Duration) {
+	t.Helper()
+	require.Eventually(t, func() bool { return c.get(key) == value }, within, time.Millisecond, "%s must become %q", key, value)
+}
+
+// Guards against changes that are missed or come late.
+func TestFollowsChanges(t *testing.T) {
+	s := newStoreStub()
+	s.put("op/config", "1")
+	c := startFollower(t, &Follower{Source: s})
+	has(t, c, "op/config", "1", time.Second)
+	s.put("op/config", "2")
+	has(t, c, "op/config", "2", 300*time.Millisecond)
+	s.put("other/key", "x")
+	s.put("servers/a", "y")
+	has(t, c, "servers/a", "y", 500*time.Millisecond)
+	require.Empty(t, c.get("other/key"))
+	s.remove("servers/a")
+	has(t, c, "servers/a", "", 500*time.Millisecond)
+}
+
+// Guards against a copy that stays old when the store leaves watches unanswered and then drops
+// its history; a change has to be in force 3 s after the watches went quiet.
+func TestMuteWatchAndLostHistory(t *testing.T) {
+	s := newStoreStub()
+	s.put("op/config", "1")
+	c := startFollower(t, &Follower{Source: s})
+	has(t, c, "op/config", "1", time.Second)
+	s.set(func(s *storeStub) { s.mute = true })
+	begun := time.Now()
+	s.put("op/config", "2")
+	time.Sleep(time.Second)
+	s.set(func(s *storeStub) { s.mute, s.compacted, s.events = false, s.revision, nil })
+	has(t, c, "op/config", "2", 3*time.Second-time.Since(begun))
+}
+
+// Guards against an outage of the store that is taken for the end of all targets.
+func TestOutageIsToldOnce(t *testing.T) {
+	s := newStoreStub()
+	s.put("servers/a", "x")
+	c := startFollower(t, &Follower{Source: s})
+	has(t, c, "servers/a", "x", time.Second)
+	s.set(func(s *storeStub) { s.down = true })
+	time.Sleep(outageAfter + 500*time.Millisecond)
+	s.remove("servers/a")
+	s.set(func(s *storeStub) { s.down = false })
+	require.Eventually(t, func() bool { return c.outages() == 1 }, 2*time.Second, time.Millisecond)
+}
+
+// peersStub gives copies of another instance.
+type peersStub struct {
+	mu    sync.Mutex
+	state State
+}
+
+func (p *peersStub) Later(_ context.Context, after int64) (State, string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state, "other", p.state.Revision > after
+}
+
+// Guards against an instance that stays without a table, or with an old one, while only it cannot
+// reach the store, and against one that goes back to an older copy.
+func TestAsksOthersWhileTheStoreIsAway(t *testing.T) {
+	s := newStoreStub()
+	s.set(func(s *storeStub) { s.down = true })
+	p := &peersStub{state: State{Revision: 7, Items: []Item{{Key: "op/config", Value: []byte("7"), Revision: 7}}}}
+	f := &Follower{Source: s, Peers: p}
+	c := startFollower(t, f)
+	has(t, c, "op/config", "7", time.Second)
+	p.mu.Lock()
+	p.state = State{Revision: 6, Items: []Item{{Key: "op/config", Value: []byte("6"), Revision: 6}}}
+	p.mu.Unlock()
+	time.Sleep(time.Second)
+	require.Equal(t, "7", c.get("op/config"))
+	require.EqualValues(t, 7, f.Revision())
+}
+
+// Guards against calls to the store by instances that hear its changes from a reader, and against
+// ones that go on trusting a reader that has stopped.
+func TestReliesOnReader(t *testing.T) {
+	s := newStoreStub()
+	s.put("op/config", "1")
+	listener := &Follower{Source: s, Name: "b", Reads: func() bool { return false }}
+	listener.Init()
+	var silent atomic.Bool
+	reader := &Follower{Source: s, Name: "a", Reads: func() bool { return true }, Tell: func(data []byte) {
+		if !silent.Load() {
+			listener.Receive(time.Now(), data)
+		}
+	}}
+	startFollower(t, reader)
+	beating, stop := context.WithCancel(context.Background())
+	go func() { _ = reader.Beat(beating) }()
+	defer stop()
+	c := startFollower(t, listener)
+	has(t, c, "op/config", "1", time.Second)
+	time.Sleep(WatchWait + 500*time.Millisecond)
+
+	before := watchesOf(s)
+	s.put("servers/a", "x")
+	has(t, c, "servers/a", "x", 300*time.Millisecond)
+	large := string(make([]byte, 4<<10))
+	s.put("op/config", large)
+	has(t, c, "op/config", large, 500*time.Millisecond)
+	time.Sleep(time.Second)
+	require.LessOrEqual(t, watchesOf(s)-before, 5, "the reader's watches and one of the listener for the large change")
+
+	stop()
+	silent.Store(true)
+	time.Sleep(beatLife)
+	s.put("servers/b", "y")
+	has(t, c, "servers/b", "y", time.Second)
+}
+
+func watchesOf(s *storeStub) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watches
+}
--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,69 @@
+package gossip
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bambooferry.example/bambooferry/pkg/engine"
+)
+
+func startSocket(t *testing.T, others *[]netip.AddrPort) *Socket {
+	t.Helper()
+	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	require.NoError(t, err)
+	return &Socket{Conn: c, Members: func() []netip.AddrPort { return *others }}
+}
+
+func addressOf(s *Socket) netip.AddrPort { return s.Conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+type told struct {
+	instance string
+	shares   map[string]engine.Share
+	lost     []string
+}
+
+// Guards against work in progress that other instances do not hear of, also after a lost datagram.
+func TestLoadsAreToldAndRepeated(t *testing.T) {
+	var toB, toA []netip.AddrPort
+	a, b := startSocket(t, &toB), startSocket(t, &toA)
+	// The second address is that of an instance that is gone.
+	toB = []netip.AddrPort{addressOf(b), netip.MustParseAddrPort("127.0.0.1:9")}
+	heard := make(chan told, 16)
+	in := &Loads{Instance: "b", Take: func(_ time.Time, instance string, shares map[string]engine.Share, lost []string) {
+		heard <- told{instance, shares, lost}
+	}}
+	b.Handle(KindLoads, in.Receive)
+	changed := make(chan struct{}, 1)
+	want := told{"a", map[string]engine.Share{"e": {Running: 2, Pending: 1}}, []string{"x"}}
+	out := &Loads{Socket: a, Instance: "a", Changed: changed, Own: func(time.Time) (map[string]engine.Share, []string) { return want.shares, want.lost }}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for _, run := range []func(context.Context) error{a.Run, b.Run, out.Run} {
+		go func() { _ = run(ctx) }()
+	}
+	changed <- struct{}{}
+	for range 2 {
+		select {
+		case got := <-heard:
+			require.Equal(t, want, got)
+		case <-time.After(3 * time.Second):
+			t.Fatal("no message came")
+		}
+	}
+}
+
+// Guards against messages that are cut or that end the receiver.
+func TestBadMessagesAreDropped(t *testing.T) {
+	var none []netip.AddrPort
+	s := startSocket(t, &none)
+	require.False(t, s.Tell(KindNews, make([]byte, MaxDatagram)))
+	l := &Loads{Instance: "b", Take: func(time.Time, string, map[string]engine.Share, []string) { t.Error("taken") }}
+	for _, m := range []string{"", "{", `{"instance":""}`, `{"instance":"b"}`, `[]`} {
+		l.Receive(time.Now(), []byte(m))
+	}
+}
--- /dev/null
+++ b/internal/relay/losses_test.go
@@ -0,0 +1,46 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newLosses() *losses {
+	return &losses{own: map[string]time.Time{}, told: map[string]map[string]time.Time{}}
+}
+
+// centre takes the first letter of a target's name as its data centre.
+func centre(id string) string { return id[:1] }
+
+// Guards against streams that wait for an engine that others have lost, and against leaving
+// engines that only one instance can't reach.
+func TestWordOfOthers(t *testing.T) {
+	l := newLosses()
+	l.tell(t0, "i1", []string{"a1"})
+	require.False(t, l.since(t0, "a1", t0.Add(-time.Second), centre), "one instance may be cut off")
+	l.tell(t0, "i2", []string{"a1"})
+	require.True(t, l.since(t0, "a1", t0.Add(-time.Second), centre))
+	require.False(t, l.since(t0, "a1", t0.Add(time.Second), centre), "a request that was sent later is not concerned")
+	require.False(t, l.since(t0.Add(lossMemory+time.Second), "a1", t0.Add(-time.Second), centre))
+}
+
+// Guards against a lost data centre that gets new work, engine by engine.
+func TestLostDataCentre(t *testing.T) {
+	l := newLosses()
+	l.saw(t0, "a1")
+	require.Empty(t, l.centres(t0, centre))
+	l.saw(t0, "a2")
+	require.Equal(t, []string{"a"}, l.centres(t0, centre))
+	require.Empty(t, l.centres(t0.Add(lossMemory+time.Millisecond), centre))
+
+	l = newLosses()
+	l.tell(t0, "i1", []string{"b1", "b2", "b3"})
+	require.Empty(t, l.centres(t0, centre), "one instance may be cut off from a data centre")
+	l.tell(t0, "i2", []string{"b4"})
+	require.Equal(t, []string{"b"}, l.centres(t0, centre))
+	require.True(t, l.since(t0, "b1", t0.Add(-time.Second), centre))
+}
