Take a reset connection for no sign of other connections' loss

Change: only a loss without a word is a sign for others; an attempt left on others' word says nothing of the engine. Test: TestResetConnectionTellsNothingOfOthers.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -34,6 +35,8 @@
 	conn   *conn
 	forget func() bool
 	begun  time.Time
+	// silent tells that the target was lost without a word.
+	silent bool
 	// left tells that bytes of the request may have reached the target.
 	left   bool
 	answer Answer
@@ -154,7 +157,7 @@
 	if result.Unreachable {
 		s.relay.conns.drop(s.target.Address)
 	}
-	s.q.pool.ended(now, s.target, result, took)
+	s.q.pool.ended(now, s.target, result, s.silent, took)
 	kind := timeline.AttemptEnded
 	if s.left && !whole {
 		kind = timeline.AttemptLost
@@ -183,6 +186,15 @@
 	return s.answer.NotRun
 }
 
+// wasSilent reports whether an error means that nothing was heard, not even a reset.
+func wasSilent(err error) bool {
+	if e := (*SilentError)(nil); errors.As(err, &e) {
+		return true
+	}
+	e := (net.Error)(nil)
+	return errors.As(err, &e) && e.Timeout()
+}
+
 // lossWhy names an error of a connection for the log.
 func lossWhy(err error) string {
 	switch e := (*AnswerError)(nil); {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -189,6 +189,7 @@
 		// A connection that could not be made carried nothing of the request.
 		p.refused = !s.left
 		gone := errors.Is(ctx.Err(), context.Canceled)
+		s.silent = wasSilent(p.err)
 		s.done(now, engine.Result{Unreachable: !gone && !s.late(now), Cancelled: gone}, false, lossWhy(p.err))
 		return p
 	}
--- a/internal/relay/losses.go
+++ b/internal/relay/losses.go
@@ -17,14 +17,27 @@
 
 // losses knows which targets of a pool were lately lost; its owner guards it.
 type losses struct {
-	// own is when this instance last lost a connection to a target, told when others did, by
-	// target and instance.
-	own  map[string]time.Time
-	told map[string]map[string]time.Time
+	// own is when this instance last lost a connection to a target, silent when one was lost
+	// without a word, and told when others lost one so, by target and instance.
+	own    map[string]time.Time
+	silent map[string]time.Time
+	told   map[string]map[string]time.Time
 }
 
-// saw notes that this instance lost a target.
-func (l *losses) saw(now time.Time, id string) { l.own[id] = now }
+func newLosses() losses {
+	return losses{own: map[string]time.Time{}, silent: map[string]time.Time{}, told: map[string]map[string]time.Time{}}
+}
+
+// saw notes that this instance lost a connection to a target.
+//
+// A connection that was reset tells nothing of others to the same target, which would be
+// reset too; one that went silent does.
+func (l *losses) saw(now time.Time, id string, silent bool) {
+	l.own[id] = now
+	if silent {
+		l.silent[id] = now
+	}
+}
 
 // tell takes in the targets that another instance lost.
 func (l *losses) tell(now time.Time, instance string, ids []string) {
@@ -41,7 +54,7 @@
 // recent returns the targets that other instances should hear of.
 func (l *losses) recent(now time.Time) []string {
 	var list []string
-	for id, at := range l.own {
+	for id, at := range l.silent {
 		if now.Sub(at) <= toldMemory {
 			list = append(list, id)
 		}
@@ -51,9 +64,11 @@
 
 // forget drops what is too old to count.
 func (l *losses) forget(now time.Time) {
-	for id, at := range l.own {
-		if now.Sub(at) > lossMemory {
-			delete(l.own, id)
+	for _, list := range []map[string]time.Time{l.own, l.silent} {
+		for id, at := range list {
+			if now.Sub(at) > lossMemory {
+				delete(list, id)
+			}
 		}
 	}
 	for id, by := range l.told {
@@ -111,10 +126,10 @@
 	return counts
 }
 
-// since reports whether a target was lost after a time: by this instance, by several others, or
+// since reports whether a target went silent after a time: by this instance, by several others, or
 // by one other while its whole data centre seems to be lost.
 func (l *losses) since(now time.Time, id string, begun time.Time, centreOf func(id string) string) bool {
-	if l.own[id].After(begun) {
+	if l.silent[id].After(begun) {
 		return true
 	}
 	n := 0
--- a/internal/relay/losses_test.go
+++ b/internal/relay/losses_test.go
@@ -9,8 +9,9 @@
 
 var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func newLosses() *losses {
-	return &losses{own: map[string]time.Time{}, told: map[string]map[string]time.Time{}}
+func testLosses() *losses {
+	l := newLosses()
+	return &l
 }
 
 // centre takes the first letter of a target's name as its data centre.
@@ -19,7 +20,7 @@
 // Guards against streams that wait for an engine that others have lost, and against leaving
 // engines that only one instance can't reach.
 func TestWordOfOthers(t *testing.T) {
-	l := newLosses()
+	l := testLosses()
 	l.tell(t0, "i1", []string{"a1"})
 	require.False(t, l.since(t0, "a1", t0.Add(-time.Second), centre), "one instance may be cut off")
 	l.tell(t0, "i2", []string{"a1"})
@@ -30,17 +31,29 @@
 
 // Guards against a lost data centre that gets new work, engine by engine.
 func TestLostDataCentre(t *testing.T) {
-	l := newLosses()
-	l.saw(t0, "a1")
+	l := testLosses()
+	l.saw(t0, "a1", false)
 	require.Empty(t, l.centres(t0, centre))
-	l.saw(t0, "a2")
+	l.saw(t0, "a2", false)
 	require.Equal(t, []string{"a"}, l.centres(t0, centre))
 	require.Empty(t, l.centres(t0.Add(lossMemory+time.Millisecond), centre))
 
-	l = newLosses()
+	l = testLosses()
 	l.tell(t0, "i1", []string{"b1", "b2", "b3"})
 	require.Empty(t, l.centres(t0, centre), "one instance may be cut off from a data centre")
 	l.tell(t0, "i2", []string{"b4"})
 	require.Equal(t, []string{"b"}, l.centres(t0, centre))
 	require.True(t, l.since(t0, "b1", t0.Add(-time.Second), centre))
 }
+
+// Guards against healthy streams that leave an engine because a connection of another one was
+// reset: each of them would mark the engine as lost again.
+func TestResetConnectionTellsNothingOfOthers(t *testing.T) {
+	l := testLosses()
+	l.saw(t0, "a1", false)
+	require.False(t, l.since(t0, "a1", t0.Add(-time.Second), centre))
+	require.Empty(t, l.recent(t0))
+	l.saw(t0, "a1", true)
+	require.True(t, l.since(t0, "a1", t0.Add(-time.Second), centre))
+	require.Equal(t, []string{"a1"}, l.recent(t0))
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -61,6 +61,8 @@
 	ran      int
 	refusals int
 	failure  *generation.Failure
+	// told is set when the open attempt is left because its target was lost by others.
+	told bool
 	// broken is set when the answer to the caller can't go on.
 	broken   bool
 	lastSent time.Time
@@ -146,6 +148,7 @@
 				st.next = nil
 			}
 			if st.now != nil && st.now.number == a.Attempt {
+				st.now.silent = a.Reason == generation.SilentAgain && !st.now.first.IsZero()
 				st.close(engine.Result{Unreachable: a.Reason == generation.SilentAgain, Cancelled: a.Reason != generation.SilentAgain}, false, a.Reason)
 			}
 		case generation.Deliver:
@@ -232,6 +235,7 @@
 	switch {
 	case err != nil && !s.left:
 		ev.Kind = generation.Unreached
+		s.silent = wasSilent(err)
 		st.close(engine.Result{Unreachable: st.ctx.Err() == nil}, false, "unreachable")
 	case err != nil:
 		st.ran++
@@ -239,7 +243,7 @@
 			st.backup = send.Backup
 		}
 		ev.Kind = generation.Closed
-		st.close(engine.Result{Unreachable: st.ctx.Err() == nil, Cancelled: st.ctx.Err() != nil}, false, lossWhy(err))
+		st.close(st.lossResult(), false, st.lossWhy(err))
 	case s.refusedByTarget():
 		ev.Kind = generation.Refused
 		st.refusals++
@@ -296,6 +300,7 @@
 		return time.Time{}, false
 	}
 	if s.first.IsZero() && st.q.pool.lostSince(now, s.target.ID, s.begun) {
+		st.told = true
 		return time.Time{}, false
 	}
 	st.do(st.gen.Step(now, generation.Event{Kind: generation.Ticked}))
@@ -334,11 +339,27 @@
 		}
 		return
 	}
-	gone := st.ctx.Err() != nil
-	st.close(engine.Result{Unreachable: !gone, Cancelled: gone}, false, lossWhy(err))
+	st.close(st.lossResult(), false, st.lossWhy(err))
 	st.do(st.gen.Step(now, generation.Event{Kind: generation.Closed, Attempt: s.number, Target: s.target.ID, Reason: lossWhy(err)}))
 }
 
+// lossResult returns what the loss of the open attempt tells of its target: nothing, if the
+// caller has gone or the target was left on others' word.
+func (st *streamRun) lossResult() engine.Result {
+	if st.told || st.ctx.Err() != nil {
+		return engine.Result{Cancelled: true}
+	}
+	return engine.Result{Unreachable: true}
+}
+
+func (st *streamRun) lossWhy(err error) string {
+	if st.told {
+		st.told = false
+		return "lost_by_others"
+	}
+	return lossWhy(err)
+}
+
 // receive hands one event of the target to the stream.
 func (st *streamRun) receive(now time.Time, s *sending, raw []byte, id uint64, numbered bool) {
 	if !numbered {
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -121,7 +121,7 @@
 		panic(err) // the policy is linked in by this file
 	}
 	return &pool{
-		changed: s.changed, engines: engine.Pool{Policy: chosen}, lost: losses{own: map[string]time.Time{}, told: map[string]map[string]time.Time{}},
+		changed: s.changed, engines: engine.Pool{Policy: chosen}, lost: newLosses(),
 		budget: booking.Budget{Share: s.RetryShare},
 	}
 }
@@ -243,14 +243,14 @@
 	}
 }
 
-// ended notes how a request went at a target.
-func (p *pool) ended(now time.Time, t route.Target, r engine.Result, took time.Duration) {
+// ended notes how a request went at a target; silent tells that it was lost without a word.
+func (p *pool) ended(now time.Time, t route.Target, r engine.Result, silent bool, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.engines.Ended(now, t.ID, r, took)
 	p.tell()
 	if r.Unreachable {
-		p.lost.saw(now, t.ID)
+		p.lost.saw(now, t.ID, silent)
 	}
 }
 
