Leave out targets at whose address another incarnation answered

Change: such a target is left out until its entry changes, and other instances are told. Test: TestMisdirectedTargetIsLeftOut.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -23,8 +23,7 @@
 
 type told struct {
 	instance string
-	shares   map[string]engine.Share
-	lost     []string
+	progress Progress
 }
 
 // Guards against work in progress that other instances do not hear of, also after a lost datagram.
@@ -34,13 +33,13 @@
 	// The second address is that of an instance that is gone.
 	toB = []netip.AddrPort{addressOf(b), netip.MustParseAddrPort("127.0.0.1:9")}
 	heard := make(chan told, 16)
-	in := &Loads{Instance: "b", Take: func(_ time.Time, instance string, shares map[string]engine.Share, lost []string) {
-		heard <- told{instance, shares, lost}
+	in := &Loads{Instance: "b", Take: func(_ time.Time, instance string, p Progress) {
+		heard <- told{instance, p}
 	}}
 	b.Handle(KindLoads, in.Receive)
 	changed := make(chan struct{}, 1)
-	want := told{"a", map[string]engine.Share{"e": {Running: 2, Pending: 1}}, []string{"x"}}
-	out := &Loads{Socket: a, Instance: "a", Changed: changed, Own: func(time.Time) (map[string]engine.Share, []string) { return want.shares, want.lost }}
+	want := told{"a", Progress{Shares: map[string]engine.Share{"e": {Running: 2, Pending: 1}}, Lost: []string{"x"}, Gone: []string{"y"}}}
+	out := &Loads{Socket: a, Instance: "a", Changed: changed, Own: func(time.Time) Progress { return want.progress }}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for _, run := range []func(context.Context) error{a.Run, b.Run, out.Run} {
@@ -62,7 +61,7 @@
 	var none []netip.AddrPort
 	s := startSocket(t, &none)
 	require.False(t, s.Tell(KindNews, make([]byte, MaxDatagram)))
-	l := &Loads{Instance: "b", Take: func(time.Time, string, map[string]engine.Share, []string) { t.Error("taken") }}
+	l := &Loads{Instance: "b", Take: func(time.Time, string, Progress) { t.Error("taken") }}
 	for _, m := range []string{"", "{", `{"instance":""}`, `{"instance":"b"}`, `[]`} {
 		l.Receive(time.Now(), []byte(m))
 	}
--- a/internal/gossip/loads.go
+++ b/internal/gossip/loads.go
@@ -18,25 +18,31 @@
 	renew = time.Second
 )
 
-// loadMessage is what one instance has in progress.
-type loadMessage struct {
-	Instance string `json:"instance"`
+// Progress is what one instance has in progress at targets and has lately seen of them.
+type Progress struct {
 	// Shares holds the requests by target.
 	Shares map[string]engine.Share `json:"shares"`
-	// Lost names the targets whose connections were lately lost.
+	// Lost names the targets that lately went silent, Gone those at whose address another
+	// incarnation answers.
 	Lost []string `json:"lost,omitempty"`
+	Gone []string `json:"gone,omitempty"`
+}
+
+type loadMessage struct {
+	Instance string `json:"instance"`
+	Progress
 }
 
 // Loads tells other instances what this one has in progress; set its exported fields before Run.
 type Loads struct {
 	Socket   *Socket
 	Instance string
-	// Own returns what this instance has in progress, and the targets that it lately lost.
-	Own func(now time.Time) (shares map[string]engine.Share, lost []string)
+	// Own returns what this instance tells.
+	Own func(now time.Time) Progress
 	// Changed tells that Own has changed.
 	Changed <-chan struct{}
 	// Take takes in what another instance tells.
-	Take func(now time.Time, instance string, shares map[string]engine.Share, lost []string)
+	Take func(now time.Time, instance string, told Progress)
 }
 
 // Run sends messages until ctx ends.
@@ -54,8 +60,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		m := loadMessage{Instance: l.Instance}
-		m.Shares, m.Lost = l.Own(time.Now())
+		m := loadMessage{Instance: l.Instance, Progress: l.Own(time.Now())}
 		empty = len(m.Shares) == 0
 		if err := l.tell(&m); err != nil {
 			return err
@@ -70,17 +75,17 @@
 	}
 }
 
-// tell sends a message, without the lost targets if it is too long with them.
+// tell sends a message, with the shares alone if it is too long with all.
 func (l *Loads) tell(m *loadMessage) error {
 	for {
 		data, err := json.Marshal(m)
 		if err != nil {
 			return errors.Wrap(err, "loads")
 		}
-		if l.Socket.Tell(KindLoads, data) || len(m.Lost) == 0 {
+		if l.Socket.Tell(KindLoads, data) || len(m.Lost)+len(m.Gone) == 0 {
 			return nil
 		}
-		m.Lost = nil
+		m.Lost, m.Gone = nil, nil
 	}
 }
 
@@ -88,6 +93,6 @@
 func (l *Loads) Receive(now time.Time, data []byte) {
 	m := loadMessage{}
 	if json.Unmarshal(data, &m) == nil && m.Instance != "" && m.Instance != l.Instance {
-		l.Take(now, m.Instance, m.Shares, m.Lost)
+		l.Take(now, m.Instance, m.Progress)
 	}
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -183,6 +183,9 @@
 
 // refusedByTarget reports whether the target states that it did not run the request.
 func (s *sending) refusedByTarget() bool {
+	if s.answer.NotRun && s.res.StatusCode == http.StatusMisdirectedRequest {
+		s.q.pool.misdirected(s.target.ID)
+	}
 	return s.answer.NotRun
 }
 
--- a/internal/relay/losses_test.go
+++ b/internal/relay/losses_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"bambooferry.example/bambooferry/pkg/route"
 )
 
 var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -57,3 +59,28 @@
 	require.True(t, l.since(t0, "a1", t0.Add(-time.Second), centre))
 	require.Equal(t, []string{"a1"}, l.recent(t0))
 }
+
+// Guards against asking again a target at whose address another incarnation has answered, and
+// against leaving it out when it is back under its former id.
+func TestMisdirectedTargetIsLeftOut(t *testing.T) {
+	table := testRelayTable()
+	targets := &Targets{DataCentre: "a", RetryShare: 0.5, RetryBurst: 20, Instances: func() int { return 1 }}
+	entry := route.Target{ID: "e1", Pool: "p", Slots: 8, Born: t0}
+	targets.Update(table, map[string][]route.Target{"p": {entry}})
+	p := targets.pool("p")
+	p.misdirected("e1")
+	_, _, ok := p.choose(t0, "a", question{})
+	require.False(t, ok)
+	require.Equal(t, []string{"e1"}, targets.Own(t0).Gone)
+
+	other := &Targets{DataCentre: "a", RetryShare: 0.5, RetryBurst: 20, Instances: func() int { return 1 }}
+	other.Update(table, map[string][]route.Target{"p": {entry}})
+	other.Others(t0, "i1", targets.Own(t0))
+	_, _, ok = other.pool("p").choose(t0, "a", question{})
+	require.False(t, ok, "other instances hear of it")
+
+	entry.Born = t0.Add(time.Second)
+	targets.Update(table, map[string][]route.Target{"p": {entry}})
+	_, _, ok = p.choose(t0, "a", question{})
+	require.True(t, ok)
+}
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"bambooferry.example/bambooferry/internal/gossip"
 	"bambooferry.example/bambooferry/pkg/booking"
 	"bambooferry.example/bambooferry/pkg/engine"
 	"bambooferry.example/bambooferry/pkg/engine/policy"
@@ -49,6 +50,8 @@
 	delay   booking.Delay
 	budget  booking.Budget
 	lost    losses
+	// gone holds targets whose address another incarnation has answered at.
+	gone    map[string]route.Target
 	changed chan struct{}
 }
 
@@ -82,28 +85,32 @@
 	return s.changed
 }
 
-// Own returns what this instance has in progress at model engines, and those that it lately lost.
-func (s *Targets) Own(now time.Time) (map[string]engine.Share, []string) {
+// Own returns what this instance tells others of model engines.
+func (s *Targets) Own(now time.Time) gossip.Progress {
 	shares := map[string]engine.Share{}
-	var lost []string
+	var lost, gone []string
 	for _, p := range s.all() {
 		p.mu.Lock()
 		if p.model != nil {
 			maps.Copy(shares, p.engines.Own())
 			lost = append(lost, p.lost.recent(now)...)
+			gone = slices.AppendSeq(gone, maps.Keys(p.gone))
 		}
 		p.mu.Unlock()
 	}
-	return shares, lost
+	return gossip.Progress{Shares: shares, Lost: lost, Gone: gone}
 }
 
-// Others takes in what another instance has in progress at model engines, and which it lost.
-func (s *Targets) Others(now time.Time, instance string, shares map[string]engine.Share, lost []string) {
+// Others takes in what another instance tells of model engines.
+func (s *Targets) Others(now time.Time, instance string, told gossip.Progress) {
 	for _, p := range s.all() {
 		p.mu.Lock()
 		if p.model != nil {
-			p.engines.Others(now, instance, shares)
-			p.lost.tell(now, instance, lost)
+			p.engines.Others(now, instance, told.Shares)
+			p.lost.tell(now, instance, told.Lost)
+			for _, id := range told.Gone {
+				p.leaveOut(id)
+			}
 		}
 		p.mu.Unlock()
 	}
@@ -121,7 +128,7 @@
 		panic(err) // the policy is linked in by this file
 	}
 	return &pool{
-		changed: s.changed, engines: engine.Pool{Policy: chosen}, lost: newLosses(),
+		changed: s.changed, engines: engine.Pool{Policy: chosen}, lost: newLosses(), gone: map[string]route.Target{},
 		budget: booking.Budget{Share: s.RetryShare},
 	}
 }
@@ -141,6 +148,27 @@
 		names = append(names, t.ID)
 	}
 	p.engines.Keep(names)
+	for id, t := range p.gone {
+		if p.find(id) != t {
+			delete(p.gone, id)
+		}
+	}
+}
+
+// misdirected notes that another incarnation is at a target's address. The target is left out
+// until its entry changes.
+func (p *pool) misdirected(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaveOut(id)
+	p.tell()
+}
+
+// leaveOut leaves a target out; the caller holds mu.
+func (p *pool) leaveOut(id string) {
+	if t := p.find(id); t.ID != "" {
+		p.gone[id] = t
+	}
 }
 
 // question is what a target is chosen for.
@@ -180,7 +208,7 @@
 	var list []engine.Open
 	for i := range p.targets {
 		t := &p.targets[i]
-		if t.Leaving || !passes(t) {
+		if _, gone := p.gone[t.ID]; gone || t.Leaving || !passes(t) {
 			continue
 		}
 		distance := farDistance
@@ -206,7 +234,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, t := range p.targets {
-		if t.Address == a && !t.Leaving {
+		if _, gone := p.gone[t.ID]; t.Address == a && !t.Leaving && !gone {
 			return t, true
 		}
 	}
