--- a/internal/gossip/loads.go
+++ b/internal/gossip/loads.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"bambooferry.example/bambooferry/pkg/booking"
 	"bambooferry.example/bambooferry/pkg/engine"
 )
 
@@ -22,6 +23,8 @@
 type Progress struct {
 	// Shares holds the requests by target.
 	Shares map[string]engine.Share `json:"shares"`
+	// Sendings are those of the last window, by pool.
+	Sendings map[string]booking.Sendings `json:"sendings,omitempty"`
 	// Lost names the targets that lately went silent, Gone those at whose address another
 	// incarnation answers.
 	Lost []string `json:"lost,omitempty"`
@@ -61,7 +64,7 @@
 			return ctx.Err()
 		}
 		m := loadMessage{Instance: l.Instance, Progress: l.Own(time.Now())}
-		empty = len(m.Shares) == 0
+		empty = len(m.Shares)+len(m.Sendings) == 0
 		if err := l.tell(&m); err != nil {
 			return err
 		}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -65,7 +65,7 @@
 		context.AfterFunc(sendCtx, stop)
 	}
 	c := &callRun{relay: r, q: q, w: w, replies: make(chan *reply, maxRefusals+max(q.route.MaxAttempts, 1)+1)}
-	q.pool.earn()
+	q.pool.earn(time.Now())
 	if !c.send(sendCtx, "first") {
 		r.refuse(w, q, notRun(codeNoTarget, spreadRetry(startRetry)))
 		return
@@ -101,7 +101,7 @@
 				return
 			}
 		case <-hedge.C:
-			if c.mayRepeat() && c.q.pool.spend() {
+			if c.mayRepeat() && c.q.pool.spend(time.Now()) {
 				c.send(sendCtx, "slow")
 			}
 		case <-ctx.Done():
@@ -138,12 +138,12 @@
 	if p.refused {
 		c.ran--
 		c.refusals++
-		if c.refusals < maxRefusals && time.Now().Before(c.q.deadline) && c.q.pool.spend() && c.send(ctx, "refused_by_target") {
+		if c.refusals < maxRefusals && time.Now().Before(c.q.deadline) && c.q.pool.spend(time.Now()) && c.send(ctx, "refused_by_target") {
 			return false
 		}
 	} else {
 		c.last = p
-		if c.mayRepeat() && c.q.pool.spend() && c.send(ctx, "failed") {
+		if c.mayRepeat() && c.q.pool.spend(time.Now()) && c.send(ctx, "failed") {
 			return false
 		}
 	}
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -182,7 +182,7 @@
 	ready, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	board := blackboard.New()
-	targets := &Targets{DataCentre: "a", RetryShare: 0.5, RetryBurst: 20, Instances: func() int { return 1 }, Seed: 1}
+	targets := &Targets{DataCentre: "a", RetryShare: 0.5, RetrySlack: 20, RetryWindow: 10 * time.Second, Instances: func() int { return 1 }, Seed: 1}
 	table := testRelayTable()
 	var list []route.Target
 	for i, s := range stubs {
--- a/internal/relay/losses_test.go
+++ b/internal/relay/losses_test.go
@@ -64,7 +64,7 @@
 // against leaving it out when it is back under its former id.
 func TestMisdirectedTargetIsLeftOut(t *testing.T) {
 	table := testRelayTable()
-	targets := &Targets{DataCentre: "a", RetryShare: 0.5, RetryBurst: 20, Instances: func() int { return 1 }}
+	targets := &Targets{DataCentre: "a", RetryShare: 0.5, RetrySlack: 20, RetryWindow: 10 * time.Second, Instances: func() int { return 1 }}
 	entry := route.Target{ID: "e1", Pool: "p", Slots: 8, Born: t0}
 	targets.Update(table, map[string][]route.Target{"p": {entry}})
 	p := targets.pool("p")
@@ -73,7 +73,7 @@
 	require.False(t, ok)
 	require.Equal(t, []string{"e1"}, targets.Own(t0).Gone)
 
-	other := &Targets{DataCentre: "a", RetryShare: 0.5, RetryBurst: 20, Instances: func() int { return 1 }}
+	other := &Targets{DataCentre: "a", RetryShare: 0.5, RetrySlack: 20, RetryWindow: 10 * time.Second, Instances: func() int { return 1 }}
 	other.Update(table, map[string][]route.Target{"p": {entry}})
 	other.Others(t0, "i1", targets.Own(t0))
 	_, _, ok = other.pool("p").choose(t0, "a", question{})
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -86,7 +86,7 @@
 	if q.Resumes {
 		st.offset, st.anchored = q.After+1, true
 	}
-	q.pool.earn()
+	q.pool.earn(time.Now())
 	st.do(st.gen.Step(now, generation.Event{Kind: generation.Started}))
 	for !st.gen.Done() && !st.broken {
 		st.turn()
@@ -201,7 +201,7 @@
 	if st.ran > 0 && (!st.q.route.Repeats() || st.ran >= st.q.route.MaxAttempts) {
 		return true
 	}
-	return !st.q.pool.spend()
+	return !st.q.pool.spend(time.Now())
 }
 
 // choose prefers the engine that holds a copy of the run's memory.
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -26,11 +26,12 @@
 // Targets is what one instance knows of all targets; set its exported fields before the first call.
 type Targets struct {
 	DataCentre string
-	// RetryShare and RetryBurst bound what all instances together send again, as a share of
-	// requests and as a number saved up.
-	RetryShare float64
-	RetryBurst float64
-	// Instances returns the number of instances, which share RetryBurst.
+	// RetryShare, RetrySlack and RetryWindow bound what all instances together send again to a
+	// pool, as booking.SharedBudget says.
+	RetryShare  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// Instances returns the number of instances.
 	Instances func() int
 	Seed      uint64
 
@@ -42,14 +43,15 @@
 
 // pool is what is known of one pool.
 type pool struct {
-	mu      sync.Mutex
-	model   *route.Model
-	targets []route.Target
-	engines engine.Pool
-	gaps    generation.Gaps
-	delay   booking.Delay
-	budget  booking.Budget
-	lost    losses
+	mu        sync.Mutex
+	model     *route.Model
+	targets   []route.Target
+	engines   engine.Pool
+	gaps      generation.Gaps
+	delay     booking.Delay
+	budget    booking.SharedBudget
+	instances func() int
+	lost      losses
 	// gone holds targets whose address another incarnation has answered at.
 	gone    map[string]route.Target
 	changed chan struct{}
@@ -70,7 +72,6 @@
 		}
 		conf, _ := table.Pool(name)
 		p.update(conf.Model, targets[name])
-		p.setBurst(max(s.RetryBurst/float64(max(s.Instances(), 1)), 1))
 		s.pools[name] = p
 	}
 }
@@ -85,12 +86,16 @@
 	return s.changed
 }
 
-// Own returns what this instance tells others of model engines.
+// Own returns what this instance tells others of its targets.
 func (s *Targets) Own(now time.Time) gossip.Progress {
 	shares := map[string]engine.Share{}
+	sendings := map[string]booking.Sendings{}
 	var lost, gone []string
-	for _, p := range s.all() {
+	for name, p := range s.all() {
 		p.mu.Lock()
+		if own := p.budget.Own(now); own != (booking.Sendings{}) {
+			sendings[name] = own
+		}
 		if p.model != nil {
 			maps.Copy(shares, p.engines.Own())
 			lost = append(lost, p.lost.recent(now)...)
@@ -98,13 +103,14 @@
 		}
 		p.mu.Unlock()
 	}
-	return gossip.Progress{Shares: shares, Lost: lost, Gone: gone}
+	return gossip.Progress{Shares: shares, Sendings: sendings, Lost: lost, Gone: gone}
 }
 
-// Others takes in what another instance tells of model engines.
+// Others takes in what another instance tells of its targets.
 func (s *Targets) Others(now time.Time, instance string, told gossip.Progress) {
-	for _, p := range s.all() {
+	for name, p := range s.all() {
 		p.mu.Lock()
+		p.budget.Others(now, instance, told.Sendings[name])
 		if p.model != nil {
 			p.engines.Others(now, instance, told.Shares)
 			p.lost.tell(now, instance, told.Lost)
@@ -116,10 +122,10 @@
 	}
 }
 
-func (s *Targets) all() []*pool {
+func (s *Targets) all() map[string]*pool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return slices.Collect(maps.Values(s.pools))
+	return s.pools
 }
 
 func (s *Targets) newPool() *pool {
@@ -129,7 +135,7 @@
 	}
 	return &pool{
 		changed: s.changed, engines: engine.Pool{Policy: chosen}, lost: newLosses(), gone: map[string]route.Target{},
-		budget: booking.Budget{Share: s.RetryShare},
+		budget: booking.SharedBudget{Share: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow}, instances: s.Instances,
 	}
 }
 
@@ -300,22 +306,16 @@
 }
 
 // earn counts a first sending, spend takes leave for a further one.
-func (p *pool) earn() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.budget.Earn()
-}
-
-func (p *pool) setBurst(burst float64) {
+func (p *pool) earn(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.budget.Burst = burst
+	p.budget.Earn(now)
 }
 
-func (p *pool) spend() bool {
+func (p *pool) spend(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.budget.Spend()
+	return p.budget.Spend(now, p.instances())
 }
 
 // patience returns the silence time-outs of the pool's streams.
--- /dev/null
+++ b/pkg/booking/sharedbudget_test.go
@@ -0,0 +1,86 @@
+package booking
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// play lets instances repeat as much as they get leave for, all at once, and returns how often each did.
+func play(t *testing.T, instances, firstEach, wanted int, told bool) []int {
+	t.Helper()
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	all := make([]*SharedBudget, instances)
+	for i := range all {
+		all[i] = &SharedBudget{Share: 0.8, Slack: 150, Window: 10 * time.Second}
+		for range firstEach {
+			all[i].Earn(now)
+		}
+	}
+	got := make([]int, instances)
+	for range wanted {
+		for i, b := range all {
+			if b.Spend(now, instances) {
+				got[i]++
+			}
+		}
+		if !told {
+			continue
+		}
+		for i, b := range all {
+			for j, o := range all {
+				if i != j {
+					b.Others(now, fmt.Sprint(j), o.Own(now))
+				}
+			}
+		}
+	}
+	return got
+}
+
+// Guards against a stream that is broken off because its instance's own part of the retries is
+// used up while all instances together have plenty.
+func TestOneInstanceMayUseTheCommonBudget(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	b := &SharedBudget{Share: 0.8, Slack: 150, Window: 10 * time.Second}
+	b.Earn(now)
+	for i := range 90 {
+		b.Others(now, fmt.Sprint(i), Sendings{First: 3})
+	}
+	for range 10 {
+		require.True(t, b.Spend(now, 91))
+	}
+}
+
+// Guards against more repeats than targets can bear, also when instances do not hear of each
+// other: together they stay within the share of the requests and the slack.
+func TestAllTogetherStayWithinTheBudget(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		for _, instances := range []int{1, 9, 91} {
+			sum := 0
+			for _, n := range play(t, instances, 3, 50, told) {
+				sum += n
+			}
+			if told {
+				require.LessOrEqual(t, float64(sum), 0.8*3*float64(instances)+150, "%d instances", instances)
+			}
+			require.Positive(t, sum)
+		}
+	}
+}
+
+// Guards against a window that forgets too early or never.
+func TestWindowSlides(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	b := &SharedBudget{Share: 1, Slack: 0, Window: 10 * time.Second}
+	for range 10 {
+		b.Earn(now)
+	}
+	require.Equal(t, Sendings{First: 10}, b.Own(now.Add(8*time.Second)))
+	require.True(t, b.Spend(now.Add(8*time.Second), 1))
+	require.Equal(t, Sendings{Repeats: 1}, b.Own(now.Add(12*time.Second)))
+	require.Equal(t, Sendings{}, b.Own(now.Add(time.Minute)))
+	require.False(t, b.Spend(now.Add(time.Minute), 1))
+}
