Tell large changes of the store as differences

Cause: a configuration over 1.1 KB was announced only, and each of 91 instances read it from the store. Change: internal/difference packs a value against the one that it replaces; a small change fits into a datagram. Common moves there from internal/server, which used it for the catalogue.

--- /dev/null
+++ b/internal/difference/difference.go
@@ -0,0 +1,65 @@
+// Package difference writes a value as its difference to another one.
+//
+// It holds no state and imports nothing of the project.
+package difference
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+)
+
+// maxDictionary is the part of a base that flate can refer to.
+const maxDictionary = 32 << 10
+
+// SizeError tells that a value is larger than allowed.
+type SizeError struct{ Limit int }
+
+func (e *SizeError) Error() string { return fmt.Sprintf("value has over %d bytes", e.Limit) }
+
+// Common returns the lengths of the longest common prefix, and suffix of the rest.
+func Common(a, b []byte) (prefix, suffix int) {
+	n := min(len(a), len(b))
+	for prefix < n && a[prefix] == b[prefix] {
+		prefix++
+	}
+	for suffix < n-prefix && a[len(a)-1-suffix] == b[len(b)-1-suffix] {
+		suffix++
+	}
+	return prefix, suffix
+}
+
+// Pack returns a value as its difference to a base, which may be empty.
+func Pack(base, value []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := flate.NewWriterDict(&out, flate.DefaultCompression, dictionary(base))
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(value); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+// Unpack returns the value that was packed with the same base; the error is a *SizeError when it
+// has more than limit bytes.
+func Unpack(base, packed []byte, limit int) ([]byte, error) {
+	r := flate.NewReaderDict(bytes.NewReader(packed), dictionary(base))
+	value, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(value) > limit {
+		return nil, &SizeError{Limit: limit}
+	}
+	return value, nil
+}
+
+func dictionary(base []byte) []byte {
+	return base[max(len(base)-maxDictionary, 0):]
+}
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -184,22 +184,27 @@
 	now := time.Now()
 	from := f.Revision()
 	u := f.update(now, got.Revision)
-	f.take(&u, got)
-	f.tell(now, from, got)
+	f.tell(now, from, got, f.take(&u, got))
 	if len(u.Changed)+len(u.Removed) > 0 || !u.RegainedAt.IsZero() {
 		f.Apply(now, u)
 	}
 	return len(got.Events) > 0, nil
 }
 
-// take puts the changes of a watch into the copy and into u.
-func (f *Follower) take(u *Update, got Changes) {
+// take puts the changes of a watch into the copy and into u, and returns the items that were replaced.
+func (f *Follower) take(u *Update, got Changes) map[string]Item {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	replaced := map[string]Item{}
 	for _, ev := range got.Events {
 		if !f.covers(ev.Key) || f.items[ev.Key].Revision >= ev.Revision {
 			continue
 		}
+		if old, ok := f.items[ev.Key]; ok {
+			if _, known := replaced[ev.Key]; !known {
+				replaced[ev.Key] = old
+			}
+		}
 		if ev.Removed {
 			delete(f.items, ev.Key)
 			u.Removed = append(u.Removed, ev.Key)
@@ -209,6 +214,7 @@
 		u.Changed = append(u.Changed, ev.Item)
 	}
 	f.revision = max(f.revision, got.Revision)
+	return replaced
 }
 
 func (f *Follower) covers(key string) bool {
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -258,12 +259,17 @@
 	before := watchesOf(s)
 	s.put("servers/a", "x")
 	has(t, c, "servers/a", "x", 300*time.Millisecond)
-	large := string(make([]byte, 4<<10))
+	large := randomText(4 << 10)
 	s.put("op/config", large)
 	has(t, c, "op/config", large, 500*time.Millisecond)
 	time.Sleep(time.Second)
 	require.LessOrEqual(t, watchesOf(s)-before, 5, "the reader's watches and one of the listener for the large change")
 
+	before = watchesOf(s)
+	s.put("op/config", large[:2000]+"changed"+large[2000:])
+	has(t, c, "op/config", large[:2000]+"changed"+large[2000:], 300*time.Millisecond)
+	require.LessOrEqual(t, watchesOf(s)-before, 2, "a small change of a large value is told by the reader")
+
 	stop()
 	silent.Store(true)
 	time.Sleep(beatLife)
@@ -276,3 +282,12 @@
 	defer s.mu.Unlock()
 	return s.watches
 }
+
+func randomText(n int) string {
+	rng := rand.New(rand.NewPCG(1, 2))
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = byte('a' + rng.IntN(26))
+	}
+	return string(b)
+}
--- a/internal/feed/news.go
+++ b/internal/feed/news.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"bambooferry.example/bambooferry/internal/difference"
 	"bambooferry.example/bambooferry/pkg/timeline"
 )
 
@@ -41,6 +42,9 @@
 	Value    []byte `json:"value,omitempty"`
 	Revision int64  `json:"revision"`
 	Removed  bool   `json:"removed,omitempty"`
+	// Base is the revision of the item that Packed is a difference to; Value is empty then.
+	Base   int64  `json:"base,omitempty"`
+	Packed []byte `json:"packed,omitempty"`
 }
 
 // Receive takes a message of another instance.
@@ -117,18 +121,52 @@
 	}
 	got := Changes{Revision: n.To}
 	for i := range n.Changed {
-		c := &n.Changed[i]
-		got.Events = append(got.Events, Event{Item: Item{Key: c.Key, Value: c.Value, Revision: c.Revision}, Removed: c.Removed})
+		ev, ok := f.restore(&n.Changed[i])
+		if !ok {
+			return true
+		}
+		got.Events = append(got.Events, ev)
 	}
 	f.take(&u, got)
 	f.Apply(time.Now(), u)
 	return false
 }
 
+// restore returns a change that another instance told, if the copy has what it is a difference to.
+func (f *Follower) restore(c *newsItem) (Event, bool) {
+	ev := Event{Item: Item{Key: c.Key, Value: c.Value, Revision: c.Revision}, Removed: c.Removed}
+	if c.Base == 0 {
+		return ev, true
+	}
+	f.mu.Lock()
+	old := f.items[c.Key]
+	f.mu.Unlock()
+	if old.Revision != c.Base {
+		return ev, false
+	}
+	var err error
+	ev.Value, err = difference.Unpack(old.Value, c.Packed, maxValue)
+	return ev, err == nil
+}
+
+// newsOf returns a change as it is told, a large one as a difference to the item that it replaces.
+func newsOf(ev *Event, old Item) newsItem {
+	n := newsItem{Key: ev.Key, Value: ev.Value, Revision: ev.Revision, Removed: ev.Removed}
+	if len(ev.Value) < packedFrom || old.Revision == 0 {
+		return n
+	}
+	packed, err := difference.Pack(old.Value, ev.Value)
+	if err != nil || len(packed) >= len(ev.Value) {
+		return n
+	}
+	n.Value, n.Base, n.Packed = nil, old.Revision, packed
+	return n
+}
+
 // tell sends changes to the other instances, in as many messages as they need.
 //
 // What does not fit is left out: the others see from the revision that they lack something.
-func (f *Follower) tell(now time.Time, from int64, got Changes) {
+func (f *Follower) tell(now time.Time, from int64, got Changes, replaced map[string]Item) {
 	if f.Tell == nil || !f.reads() || got.Revision <= from {
 		return
 	}
@@ -137,7 +175,9 @@
 	size := 0
 	for i := range got.Events {
 		ev := &got.Events[i]
-		cost := len(ev.Key) + len(ev.Value)*4/3 + newsItemBytes
+		item := newsOf(ev, replaced[ev.Key])
+		replaced[ev.Key] = ev.Item
+		cost := len(ev.Key) + (len(item.Value)+len(item.Packed))*4/3 + newsItemBytes
 		if cost > newsBytes {
 			f.send(n)
 			n.Changed, size = nil, 0
@@ -151,7 +191,7 @@
 			f.send(n)
 			n.From, n.Changed, size = n.To, nil, 0
 		}
-		n.Changed = append(n.Changed, newsItem{Key: ev.Key, Value: ev.Value, Revision: ev.Revision, Removed: ev.Removed})
+		n.Changed = append(n.Changed, item)
 		n.To = ev.Revision
 		size += cost
 	}
@@ -162,6 +202,10 @@
 const (
 	// newsBytes bounds the changes of one message, which has to fit into a datagram.
 	newsBytes = 1100
+	// packedFrom is the size from which a value is told as a difference.
+	packedFrom = 600
+	// maxValue bounds a value of the store.
+	maxValue = 1 << 20
 	// newsItemBytes is the size of a change's field names and numbers.
 	newsItemBytes = 60
 )
--- a/internal/server/cataloguepack.go
+++ b/internal/server/cataloguepack.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"bambooferry.example/bambooferry/internal/difference"
 	"bambooferry.example/bambooferry/pkg/blackboard"
 	"bambooferry.example/bambooferry/pkg/catalogue"
 	"bambooferry.example/bambooferry/pkg/instance"
@@ -79,7 +80,7 @@
 	for _, old := range kept[1:] {
 		if old.revision == in.After && old.hash == in.Hash {
 			out.Base = old.revision
-			out.Prefix, out.Suffix = common(old.data, newest.data)
+			out.Prefix, out.Suffix = difference.Common(old.data, newest.data)
 		}
 	}
 	var err error
@@ -87,18 +88,6 @@
 	return out, err
 }
 
-// common returns the lengths of the longest common prefix, and suffix of the rest.
-func common(a, b []byte) (prefix, suffix int) {
-	n := min(len(a), len(b))
-	for prefix < n && a[prefix] == b[prefix] {
-		prefix++
-	}
-	for suffix < n-prefix && a[len(a)-1-suffix] == b[len(b)-1-suffix] {
-		suffix++
-	}
-	return prefix, suffix
-}
-
 // restore returns the document that a peer sent, given the revisions that the instance has.
 func restore(kept []form, f *Fetched) ([]byte, error) {
 	data, err := unpack(f.Data)
