--- a/internal/difference/difference.go
+++ b/internal/difference/difference.go
@@ -8,6 +8,7 @@
 	"compress/flate"
 	"fmt"
 	"io"
+	"sync"
 )
 
 // maxDictionary is the part of a base that flate can refer to.
@@ -33,7 +34,7 @@
 // Pack returns a value as its difference to a base, which may be empty.
 func Pack(base, value []byte) ([]byte, error) {
 	var out bytes.Buffer
-	w, err := flate.NewWriterDict(&out, flate.DefaultCompression, dictionary(base))
+	w, err := writer(&out, base)
 	if err != nil {
 		return nil, err
 	}
@@ -43,9 +44,26 @@
 	if err := w.Close(); err != nil {
 		return nil, err
 	}
+	if len(base) == 0 {
+		plain.Put(w)
+	}
 	return out.Bytes(), nil
 }
 
+// plain holds writers without a base: a new one takes a megabyte.
+var plain sync.Pool
+
+func writer(out io.Writer, base []byte) (*flate.Writer, error) {
+	if len(base) > 0 {
+		return flate.NewWriterDict(out, flate.DefaultCompression, dictionary(base))
+	}
+	if w, ok := plain.Get().(*flate.Writer); ok {
+		w.Reset(out)
+		return w, nil
+	}
+	return flate.NewWriter(out, flate.DefaultCompression)
+}
+
 // Unpack returns the value that was packed with the same base; the error is a *SizeError when it
 // has more than limit bytes.
 func Unpack(base, packed []byte, limit int) ([]byte, error) {
--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -74,10 +74,11 @@
 	Apply func(now time.Time, u Update)
 	Log   *timeline.Writer
 	// Name names this instance. Reads reports whether it reads the store for others, and Tell sends
-	// them a message; both may be nil, and then each instance reads the store itself.
+	// them a message unless it is too long; both may be nil, and then each instance reads the store
+	// itself.
 	Name  string
 	Reads func() bool
-	Tell  func(data []byte)
+	Tell  func(data []byte) bool
 	// Observe, if set, is told of each call by kind.
 	Observe func(kind string, took time.Duration, err error)
 
--- a/internal/feed/news.go
+++ b/internal/feed/news.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"time"
+	"unicode/utf8"
 
 	"bambooferry.example/bambooferry/internal/difference"
 	"bambooferry.example/bambooferry/pkg/timeline"
@@ -38,7 +39,9 @@
 }
 
 type newsItem struct {
-	Key      string `json:"key"`
+	Key string `json:"key"`
+	// Text is the value, or Value if it is no text; text is packed better.
+	Text     string `json:"text,omitempty"`
 	Value    []byte `json:"value,omitempty"`
 	Revision int64  `json:"revision"`
 	Removed  bool   `json:"removed,omitempty"`
@@ -49,8 +52,12 @@
 
 // Receive takes a message of another instance.
 func (f *Follower) Receive(now time.Time, data []byte) {
+	plain, err := difference.Unpack(nil, data, maxNews)
+	if err != nil {
+		return
+	}
 	n := News{}
-	if json.Unmarshal(data, &n) != nil {
+	if json.Unmarshal(plain, &n) != nil {
 		return
 	}
 	select {
@@ -120,11 +127,13 @@
 		return true
 	}
 	got := Changes{Revision: n.To}
+	earlier := map[string]Item{}
 	for i := range n.Changed {
-		ev, ok := f.restore(&n.Changed[i])
+		ev, ok := f.restore(&n.Changed[i], earlier)
 		if !ok {
 			return true
 		}
+		earlier[ev.Key] = ev.Item
 		got.Events = append(got.Events, ev)
 	}
 	f.take(&u, got)
@@ -132,15 +141,22 @@
 	return false
 }
 
-// restore returns a change that another instance told, if the copy has what it is a difference to.
-func (f *Follower) restore(c *newsItem) (Event, bool) {
+// restore returns a change that another instance told, if the copy, or what the same message told
+// earlier, has what it is a difference to.
+func (f *Follower) restore(c *newsItem, earlier map[string]Item) (Event, bool) {
 	ev := Event{Item: Item{Key: c.Key, Value: c.Value, Revision: c.Revision}, Removed: c.Removed}
+	if c.Text != "" {
+		ev.Value = []byte(c.Text)
+	}
 	if c.Base == 0 {
 		return ev, true
 	}
-	f.mu.Lock()
-	old := f.items[c.Key]
-	f.mu.Unlock()
+	old, ok := earlier[c.Key]
+	if !ok {
+		f.mu.Lock()
+		old = f.items[c.Key]
+		f.mu.Unlock()
+	}
 	if old.Revision != c.Base {
 		return ev, false
 	}
@@ -151,7 +167,12 @@
 
 // newsOf returns a change as it is told, a large one as a difference to the item that it replaces.
 func newsOf(ev *Event, old Item) newsItem {
-	n := newsItem{Key: ev.Key, Value: ev.Value, Revision: ev.Revision, Removed: ev.Removed}
+	n := newsItem{Key: ev.Key, Revision: ev.Revision, Removed: ev.Removed}
+	if utf8.Valid(ev.Value) {
+		n.Text = string(ev.Value)
+	} else {
+		n.Value = ev.Value
+	}
 	if len(ev.Value) < packedFrom || old.Revision == 0 {
 		return n
 	}
@@ -159,63 +180,58 @@
 	if err != nil || len(packed) >= len(ev.Value) {
 		return n
 	}
-	n.Value, n.Base, n.Packed = nil, old.Revision, packed
+	n.Text, n.Value, n.Base, n.Packed = "", nil, old.Revision, packed
 	return n
 }
 
 // tell sends changes to the other instances, in as many messages as they need.
-//
-// What does not fit is left out: the others see from the revision that they lack something.
 func (f *Follower) tell(now time.Time, from int64, got Changes, replaced map[string]Item) {
 	if f.Tell == nil || !f.reads() || got.Revision <= from {
 		return
 	}
-	n := f.beat(now)
-	n.From, n.To = from, from
-	size := 0
+	items := make([]newsItem, 0, len(got.Events))
 	for i := range got.Events {
 		ev := &got.Events[i]
-		item := newsOf(ev, replaced[ev.Key])
+		items = append(items, newsOf(ev, replaced[ev.Key]))
 		replaced[ev.Key] = ev.Item
-		cost := len(ev.Key) + (len(item.Value)+len(item.Packed))*4/3 + newsItemBytes
-		if cost > newsBytes {
-			f.send(n)
-			n.Changed, size = nil, 0
-			// A message without changes tells of the revision that the others lack.
-			n.To = ev.Revision
-			f.send(n)
-			n.From = ev.Revision
-			continue
-		}
-		if size+cost > newsBytes {
-			f.send(n)
-			n.From, n.Changed, size = n.To, nil, 0
-		}
-		n.Changed = append(n.Changed, item)
-		n.To = ev.Revision
-		size += cost
 	}
-	n.To = got.Revision
-	f.send(n)
+	n := f.beat(now)
+	n.From, n.To = from, got.Revision
+	f.send(n, items)
+}
+
+// send sends changes in one message, or each half of them in messages of its own if they do not
+// fit. Of a change that does not fit alone only the revision is told; the others see that they lack it.
+func (f *Follower) send(n News, items []newsItem) {
+	n.Changed = items
+	plain, err := json.Marshal(n)
+	if err != nil {
+		return
+	}
+	data, err := difference.Pack(nil, plain)
+	if err != nil || f.Tell(data) {
+		return
+	}
+	if len(items) <= 1 {
+		f.send(n, nil)
+		return
+	}
+	first, second := n, n
+	half := len(items) / 2
+	first.To = items[half-1].Revision
+	second.From = first.To
+	f.send(first, items[:half])
+	f.send(second, items[half:])
 }
 
 const (
-	// newsBytes bounds the changes of one message, which has to fit into a datagram.
-	newsBytes = 1100
 	// packedFrom is the size from which a value is told as a difference.
 	packedFrom = 600
-	// maxValue bounds a value of the store.
+	// maxNews bounds a message when it is unpacked, and maxValue a value of the store.
+	maxNews  = 256 << 10
 	maxValue = 1 << 20
-	// newsItemBytes is the size of a change's field names and numbers.
-	newsItemBytes = 60
 )
 
-func (f *Follower) send(n News) {
-	if data, err := json.Marshal(n); err == nil {
-		f.Tell(data)
-	}
-}
-
 // beat returns a message without changes.
 func (f *Follower) beat(now time.Time) News {
 	f.mu.Lock()
@@ -244,7 +260,7 @@
 			}
 			was = is
 			if n := f.beat(now); is && n.To > 0 && n.AnsweredMillis < answerLife.Milliseconds() {
-				f.send(n)
+				f.send(n, nil)
 			}
 		case <-ctx.Done():
 			return ctx.Err()
