Answer a call that is silent until its deadline with a time-out; name terminal events as the timeline does

Terminal events are request_finished, request_failed, request_refused and request_abandoned, which the timeline command knows.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -58,7 +58,7 @@
 		p.s.done(time.Now(), engine.Result{Failed: !whole}, whole, resultWhy(p))
 	}
 	if err != nil {
-		r.ended(q, string(generation.Ran), "answer_broken_off", p.s.res.StatusCode)
+		r.ended(q, string(generation.Ran), "answer_broken_off", 0)
 		panic(http.ErrAbortHandler)
 	}
 	r.ended(q, string(generation.Ran), "answered", p.s.res.StatusCode)
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -161,6 +161,8 @@
 		c.relay.refuse(c.w, c.q, notRun(codeTargetsRefuse, spreadRetry(refusedRetry)))
 	case p.err == nil:
 		c.relay.deliver(c.w, c.q, p)
+	case p.s.late(time.Now()):
+		c.relay.refuse(c.w, c.q, timedOut())
 	default:
 		code := codeTargetLost
 		if bad := (*AnswerError)(nil); errors.As(p.err, &bad) {
@@ -173,10 +175,10 @@
 // giveUp ends a call whose deadline has passed or whose caller has gone.
 func (c *callRun) giveUp(ctx context.Context) {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		c.relay.refuse(c.w, c.q, &Refusal{Status: http.StatusGatewayTimeout, Code: codeTimeout, Outcome: generation.Unknown})
+		c.relay.refuse(c.w, c.q, timedOut())
 		return
 	}
-	c.relay.ended(c.q, string(generation.Unknown), "caller_gone", 0)
+	c.relay.ended(c.q, string(generation.Unknown), callerGone, 0)
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -24,6 +24,9 @@
 	codeBadAnswer     = "bad_answer"
 )
 
+// callerGone is the reason of a request whose caller has left, or whose instance was stopped at once.
+const callerGone = "caller_gone"
+
 // Refusal is a final answer that the instance itself gives.
 type Refusal struct {
 	Status int `json:"-"`
@@ -41,6 +44,11 @@
 	return &Refusal{Status: http.StatusServiceUnavailable, Code: code, Outcome: generation.NotRun, RetryAfter: retry}
 }
 
+// timedOut returns the answer to a request that may have run and got no answer by its deadline.
+func timedOut() *Refusal {
+	return &Refusal{Status: http.StatusGatewayTimeout, Code: codeTimeout, Outcome: generation.Unknown}
+}
+
 // spreadRetry returns a time around d, so that callers refused together do not return together.
 func spreadRetry(d time.Duration) time.Duration { return d/2 + rand.N(d) }
 
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -194,11 +194,24 @@
 	f.write(w, r.Codec)
 }
 
+// endKind returns the kind of a request's terminal event; status is 0 if no answer was completed.
+func endKind(outcome, why string, status int) string {
+	switch {
+	case why == callerGone:
+		return "request_abandoned"
+	case outcome == string(generation.NotRun):
+		return "request_refused"
+	case status >= http.StatusInternalServerError || status == 0:
+		return "request_failed"
+	}
+	return "request_finished"
+}
+
 // ended logs the terminal event of a request.
 func (r *Relay) ended(q *query, outcome, why string, status int) {
 	now := time.Now()
 	ev := timeline.Event{
-		Kind: "request_ended", Request: q.ID, Outcome: outcome, Why: why, Entry: entryOf(q), Workspace: workspaceOf(q),
+		Kind: endKind(outcome, why, status), Request: q.ID, Outcome: outcome, Why: why, Entry: entryOf(q), Workspace: workspaceOf(q),
 		Inputs: []timeline.Input{
 			{Name: "status", Value: int64(status)},
 			{Name: "took_ms", Value: now.Sub(q.begun).Milliseconds()},
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -420,7 +420,7 @@
 // finish gives the caller the end of the answer.
 func (st *streamRun) finish() {
 	if st.now != nil {
-		st.close(engine.Result{Cancelled: true}, false, "caller_gone")
+		st.close(engine.Result{Cancelled: true}, false, callerGone)
 	}
 	q, r := st.q, st.relay
 	gone := st.q.in.Context().Err() != nil
@@ -428,7 +428,7 @@
 	case st.gen.Done() && st.failure == nil && st.ctx.Err() == nil && !st.broken:
 		r.endedStream(st, string(generation.Ran), "whole")
 	case gone:
-		r.endedStream(st, string(generation.Unknown), "caller_gone")
+		r.endedStream(st, string(generation.Unknown), callerGone)
 		panic(http.ErrAbortHandler)
 	case st.headed:
 		r.endedStream(st, string(generation.Ran), st.why())
@@ -458,16 +458,24 @@
 	case st.ran == 0:
 		return notRun(codeNoTarget, spreadRetry(startRetry))
 	case st.ctx.Err() != nil:
-		return &Refusal{Status: http.StatusGatewayTimeout, Code: codeTimeout, Outcome: generation.Unknown}
+		return timedOut()
 	}
 	return &Refusal{Status: http.StatusBadGateway, Code: codeTargetLost, Outcome: generation.Unknown}
 }
 
+// status returns the status of a stream that ended whole, or 0.
+func (st *streamRun) status() int {
+	if st.gen.Done() && st.failure == nil && !st.broken && st.ctx.Err() == nil {
+		return http.StatusOK
+	}
+	return 0
+}
+
 // endedStream logs the end of a stream with the number of its events.
 func (r *Relay) endedStream(st *streamRun, outcome, why string) {
 	now := time.Now()
 	r.Log.Write(now, timeline.Event{
-		Kind: "request_ended", Request: st.q.ID, Outcome: outcome, Why: why, Entry: st.q.route.Name, Workspace: workspaceOf(st.q), Revision: st.q.table.Version,
+		Kind: endKind(outcome, why, st.status()), Request: st.q.ID, Outcome: outcome, Why: why, Entry: st.q.route.Name, Workspace: workspaceOf(st.q), Revision: st.q.table.Version,
 		Inputs: []timeline.Input{
 			{Name: "events", Value: int64(st.gen.Position)},
 			{Name: "took_ms", Value: now.Sub(st.q.begun).Milliseconds()},
