--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -31,7 +31,7 @@
 	// sweepEvery is the time between looks at idle connections.
 	sweepEvery = time.Second
 	// stopMargin is left of the grace to write the last log lines.
-	stopMargin = 400 * time.Millisecond
+	stopMargin = 250 * time.Millisecond
 )
 
 // Relay passes requests to targets; set its exported fields before Run.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -27,9 +27,6 @@
 	// lookEvery is how often a stream that waits for its first event looks whether its target
 	// was lost by others.
 	lookEvery = 200 * time.Millisecond
-	// copyAge is the time after which an engine has sent the first parts of a run's memory to its
-	// backup; they are sent several times a second.
-	copyAge = 400 * time.Millisecond
 	// retryWait is the first pause of a stream that found no target.
 	retryWait = 100 * time.Millisecond
 	// slowWrite is the time of a write from which the caller counts as having held the stream back.
@@ -207,7 +204,7 @@
 // choose prefers the engine that holds a copy of the run's memory.
 func (st *streamRun) choose(now time.Time, a *generation.Action) (route.Target, float64, bool) {
 	q := question{avoid: a.Avoid}
-	if st.backup.IsValid() {
+	if st.backup.IsValid() && st.gen.Position > 0 {
 		if t, ok := st.q.pool.at(st.backup); ok {
 			q.prefer = t.ID
 		}
@@ -239,9 +236,6 @@
 		st.close(engine.Result{Unreachable: st.ctx.Err() == nil}, false, "unreachable")
 	case err != nil:
 		st.ran++
-		if now.Sub(s.begun) >= copyAge {
-			st.backup = send.Backup
-		}
 		ev.Kind = generation.Closed
 		st.close(st.lossResult(), false, st.lossWhy(err))
 	case s.refusedByTarget():
