--- a/internal/relay/losses.go
+++ b/internal/relay/losses.go
@@ -126,9 +126,9 @@
 	return counts
 }
 
-// since reports whether a target went silent after a time: by this instance, by several others, or
-// by one other while its whole data centre seems to be lost.
-func (l *losses) since(now time.Time, id string, begun time.Time, centreOf func(id string) string) bool {
+// since reports whether a target went silent after a time: by this instance's or several others'
+// word, or because most of its data centre did.
+func (l *losses) since(now time.Time, id string, begun time.Time, centreOf func(id string) string, size int) bool {
 	if l.silent[id].After(begun) {
 		return true
 	}
@@ -138,13 +138,25 @@
 			n++
 		}
 	}
-	if n == 0 || n >= witnesses {
-		return n > 0
+	return n >= witnesses || l.mostSilent(now, centreOf(id), begun, centreOf, size)
+}
+
+// mostSilent reports whether at least half of a data centre's targets went silent after a time.
+func (l *losses) mostSilent(now time.Time, dc string, begun time.Time, centreOf func(id string) string, size int) bool {
+	l.forget(now)
+	instances := map[string]bool{}
+	targets := map[string]bool{}
+	for id, at := range l.silent {
+		if centreOf(id) == dc && at.After(begun) {
+			targets[id], instances[""] = true, true
+		}
 	}
-	for _, dc := range l.centres(now, centreOf) {
-		if dc == centreOf(id) {
-			return true
+	for id, by := range l.told {
+		for instance, at := range by {
+			if centreOf(id) == dc && at.After(begun) {
+				targets[id], instances[instance] = true, true
+			}
 		}
 	}
-	return false
+	return len(instances) >= witnesses && 2*len(targets) >= size
 }
--- a/internal/relay/losses_test.go
+++ b/internal/relay/losses_test.go
@@ -24,11 +24,11 @@
 func TestWordOfOthers(t *testing.T) {
 	l := testLosses()
 	l.tell(t0, "i1", []string{"a1"})
-	require.False(t, l.since(t0, "a1", t0.Add(-time.Second), centre), "one instance may be cut off")
+	require.False(t, l.since(t0, "a1", t0.Add(-time.Second), centre, 8), "one instance may be cut off")
 	l.tell(t0, "i2", []string{"a1"})
-	require.True(t, l.since(t0, "a1", t0.Add(-time.Second), centre))
-	require.False(t, l.since(t0, "a1", t0.Add(time.Second), centre), "a request that was sent later is not concerned")
-	require.False(t, l.since(t0.Add(lossMemory+time.Second), "a1", t0.Add(-time.Second), centre))
+	require.True(t, l.since(t0, "a1", t0.Add(-time.Second), centre, 8))
+	require.False(t, l.since(t0, "a1", t0.Add(time.Second), centre, 8), "a request that was sent later is not concerned")
+	require.False(t, l.since(t0.Add(lossMemory+time.Second), "a1", t0.Add(-time.Second), centre, 8))
 }
 
 // Guards against a lost data centre that gets new work, engine by engine.
@@ -45,7 +45,9 @@
 	require.Empty(t, l.centres(t0, centre), "one instance may be cut off from a data centre")
 	l.tell(t0, "i2", []string{"b4"})
 	require.Equal(t, []string{"b"}, l.centres(t0, centre))
-	require.True(t, l.since(t0, "b1", t0.Add(-time.Second), centre))
+	require.True(t, l.since(t0, "b9", t0.Add(-time.Second), centre, 8), "half of its data centre went silent")
+	require.False(t, l.since(t0, "b9", t0.Add(-time.Second), centre, 9))
+	require.False(t, l.since(t0, "a9", t0.Add(-time.Second), centre, 8))
 }
 
 // Guards against healthy streams that leave an engine because a connection of another one was
@@ -53,10 +55,10 @@
 func TestResetConnectionTellsNothingOfOthers(t *testing.T) {
 	l := testLosses()
 	l.saw(t0, "a1", false)
-	require.False(t, l.since(t0, "a1", t0.Add(-time.Second), centre))
+	require.False(t, l.since(t0, "a1", t0.Add(-time.Second), centre, 8))
 	require.Empty(t, l.recent(t0))
 	l.saw(t0, "a1", true)
-	require.True(t, l.since(t0, "a1", t0.Add(-time.Second), centre))
+	require.True(t, l.since(t0, "a1", t0.Add(-time.Second), centre, 8))
 	require.Equal(t, []string{"a1"}, l.recent(t0))
 }
 
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -292,7 +292,13 @@
 func (p *pool) lostSince(now time.Time, id string, since time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.lost.since(now, id, since, p.centreOf)
+	centre, size := p.centreOf(id), 0
+	for i := range p.targets {
+		if p.targets[i].DataCentre == centre {
+			size++
+		}
+	}
+	return p.lost.since(now, id, since, p.centreOf, size)
 }
 
 // report takes in a load that a target told.
