--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -46,19 +46,19 @@
 }
 
 // begin counts a sending, so that the choice of others takes it into account.
-func (r *Relay) begin(now time.Time, q *query, t route.Target, why string, load float64) *sending {
+func (r *Relay) begin(now time.Time, q *query, t route.Target, number int, why string, load float64) *sending {
 	q.attempts++
 	q.pool.sent(now, t)
 	r.Log.Write(now, timeline.Event{
-		Kind: timeline.AttemptBegun, Request: q.ID, Target: t.ID, Attempt: q.attempts, Why: why, Entry: q.route.Name, Version: t.Version, Revision: q.table.Version,
+		Kind: timeline.AttemptBegun, Request: q.ID, Target: t.ID, Attempt: number, Why: why, Entry: q.route.Name, Version: t.Version, Revision: q.table.Version,
 		Inputs: []timeline.Input{{Name: "load_percent", Value: int64(100 * load)}, {Name: "left_ms", Value: q.deadline.Sub(now).Milliseconds()}},
 	})
-	return &sending{relay: r, q: q, target: t, number: q.attempts, begun: now}
+	return &sending{relay: r, q: q, target: t, number: number, begun: now}
 }
 
 // open connects, sends the request and reads the answer's header.
-func (s *sending) open(ctx context.Context, a Attempt, fresh bool, wake time.Time, watch silence) error {
-	c, err := s.relay.conns.take(ctx, s.target.Address, fresh)
+func (s *sending) open(ctx context.Context, a Attempt, wake time.Time, watch silence) error {
+	c, err := s.relay.conns.take(ctx, s.target.Address)
 	if err != nil {
 		return err
 	}
@@ -194,7 +194,7 @@
 	if e := (*SilentError)(nil); errors.As(err, &e) {
 		return true
 	}
-	e := (net.Error)(nil)
+	e := net.Error(nil)
 	return errors.As(err, &e) && e.Timeout()
 }
 
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -83,9 +83,8 @@
 	c.avoid = append(c.avoid, t.ID)
 	c.ran++
 	c.open++
-	s := c.relay.begin(now, c.q, t, why, load)
-	fresh := false
-	go func() { c.replies <- s.call(ctx, fresh) }()
+	s := c.relay.begin(now, c.q, t, c.q.attempts+1, why, load)
+	go func() { c.replies <- s.call(ctx) }()
 	return true
 }
 
@@ -183,9 +182,9 @@
 }
 
 // call sends a call to one target and reads its answer.
-func (s *sending) call(ctx context.Context, fresh bool) *reply {
+func (s *sending) call(ctx context.Context) *reply {
 	p := &reply{s: s}
-	p.err = s.open(ctx, Attempt{}, fresh, s.q.deadline, nil)
+	p.err = s.open(ctx, Attempt{}, s.q.deadline, nil)
 	now := time.Now()
 	if p.err != nil {
 		// A connection that could not be made carried nothing of the request.
--- a/internal/relay/conns.go
+++ b/internal/relay/conns.go
@@ -38,12 +38,12 @@
 	idle map[netip.AddrPort][]*conn
 }
 
-// take returns a connection to a target, a kept one if fresh is not set.
-func (p *connPool) take(ctx context.Context, to netip.AddrPort, fresh bool) (*conn, error) {
-	for !fresh {
+// take returns a connection to a target, a kept one if there is one.
+func (p *connPool) take(ctx context.Context, to netip.AddrPort) (*conn, error) {
+	for {
 		c := p.pop(time.Now(), to)
 		if c == nil {
-			break
+			return p.dial(ctx, to)
 		}
 		if c.quiet() {
 			c.used = true
@@ -51,7 +51,6 @@
 		}
 		_ = c.Close()
 	}
-	return p.dial(ctx, to)
 }
 
 func (p *connPool) dial(ctx context.Context, to netip.AddrPort) (*conn, error) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net/http"
@@ -13,8 +12,6 @@
 
 	"bambooferry.example/bambooferry/pkg/engine"
 	"bambooferry.example/bambooferry/pkg/generation"
-	"bambooferry.example/bambooferry/pkg/route"
-	"bambooferry.example/bambooferry/pkg/timeline"
 )
 
 const (
@@ -42,12 +39,11 @@
 	ctx   context.Context
 	gen   generation.Stream
 
-	// next is the attempt that is to begin, if any.
-	next *generation.Action
-	// now and number are the attempt that is open.
-	now    *sending
-	events eventReader
-	headed bool
+	// planned is the attempt that is to begin, current the one that is open, if any.
+	planned *generation.Action
+	current *sending
+	events  eventReader
+	headed  bool
 	// offset is added to a position to give the event's id.
 	offset uint64
 	// anchored is set once the first event's id is known.
@@ -107,9 +103,9 @@
 	switch {
 	case st.ctx.Err() != nil:
 		st.step(generation.Event{Kind: generation.Abandoned})
-	case st.now != nil:
+	case st.current != nil:
 		st.pass()
-	case st.next != nil:
+	case st.planned != nil:
 		st.begin()
 	default:
 		st.rest()
@@ -139,14 +135,14 @@
 		switch a.Kind {
 		case generation.Begin:
 			next := *a
-			st.next = &next
+			st.planned = &next
 		case generation.Cancel, generation.Detach:
-			if st.next != nil && st.next.Attempt == a.Attempt {
-				st.next = nil
+			if st.planned != nil && st.planned.Attempt == a.Attempt {
+				st.planned = nil
 			}
-			if st.now != nil && st.now.number == a.Attempt {
-				st.now.silent = a.Reason == generation.SilentAgain && !st.now.first.IsZero()
-				st.close(engine.Result{Unreachable: a.Reason == generation.SilentAgain, Cancelled: a.Reason != generation.SilentAgain}, false, a.Reason)
+			if st.current != nil && st.current.number == a.Attempt {
+				st.current.silent = a.Reason == generation.SilentAgain && !st.current.first.IsZero()
+				st.endAttempt(engine.Result{Unreachable: a.Reason == generation.SilentAgain, Cancelled: a.Reason != generation.SilentAgain}, false, a.Reason)
 			}
 		case generation.Deliver:
 			st.deliver(a)
@@ -157,139 +153,9 @@
 	}
 }
 
-// begin opens the next attempt.
-func (st *streamRun) begin() {
-	a := st.next
-	st.next = nil
-	now := time.Now()
-	if st.stopped(a) {
-		st.broken = true
-		return
-	}
-	t, load, ok := st.choose(now, a)
-	if !ok {
-		st.step(generation.Event{Kind: generation.Unplaced, Attempt: a.Attempt})
-		return
-	}
-	send := Attempt{Urgency: urgencyOf(st.q, st.gen.Position > 0), Ranked: true, RequestID: st.q.ID}
-	if next := st.offset + st.gen.Position; next > 0 && (st.gen.Position > 0 || st.q.Resumes) {
-		send.Resumes, send.After = true, next-1
-	}
-	why := a.Reason
-	if st.backup.IsValid() && t.Address == st.backup {
-		send.Copy, why = st.backup, "backup"
-	}
-	st.backup = netip.AddrPort{}
-	if b, ok := st.chooseBackup(now, t); ok {
-		send.Backup = b.Address
-	}
-	s := st.relay.begin(now, st.q, t, why, load)
-	s.number = a.Attempt
-	st.now = s
-	st.gen.Patience = st.patience()
-	st.open(s, send)
-}
-
-// stopped reports whether no further attempt may be made.
-func (st *streamRun) stopped(a *generation.Action) bool {
-	if a.Attempt == 1 {
-		return false
-	}
-	if st.ran > 0 && (!st.q.route.Repeats() || st.ran >= st.q.route.MaxAttempts) {
-		return true
-	}
-	return !st.q.pool.spend(time.Now())
-}
-
-// choose prefers the engine that holds a copy of the run's memory.
-func (st *streamRun) choose(now time.Time, a *generation.Action) (route.Target, float64, bool) {
-	q := question{avoid: a.Avoid}
-	if st.backup.IsValid() && st.gen.Position > 0 {
-		if t, ok := st.q.pool.at(st.backup); ok {
-			q.prefer = t.ID
-		}
-	}
-	return st.q.pool.choose(now, st.relay.DataCentre, q)
-}
-
-// chooseBackup returns the engine that is to get copies, in another data centre if there is one.
-func (st *streamRun) chooseBackup(now time.Time, t route.Target) (route.Target, bool) {
-	if !st.q.pool.backups() || !st.q.route.Repeats() {
-		return route.Target{}, false
-	}
-	b, _, ok := st.q.pool.choose(now, t.DataCentre, question{avoid: []string{t.ID}, awayFrom: t.DataCentre})
-	return b, ok && b.ID != t.ID
-}
-
-// open sends the attempt and tells the stream what the target said.
-func (st *streamRun) open(s *sending, send Attempt) {
-	err := s.open(st.ctx, send, false, time.Now().Add(lookEvery), st.silent)
-	now := time.Now()
-	if st.gen.Done() || st.now == nil {
-		return
-	}
-	ev := generation.Event{Attempt: s.number, Target: s.target.ID, Reason: lossWhy0(err)}
-	switch {
-	case err != nil && !s.left:
-		ev.Kind = generation.Unreached
-		s.silent = wasSilent(err)
-		st.close(engine.Result{Unreachable: st.ctx.Err() == nil}, false, "unreachable")
-	case err != nil:
-		st.ran++
-		ev.Kind = generation.Closed
-		st.close(st.lossResult(), false, st.lossWhy(err))
-	case s.refusedByTarget():
-		ev.Kind = generation.Refused
-		st.refusals++
-		gone := s.res.StatusCode == http.StatusMisdirectedRequest
-		_, err := io.Copy(io.Discard, io.LimitReader(s.res.Body, maxBuffered))
-		st.close(engine.Result{Unreachable: gone}, err == nil, "not_run")
-	default:
-		st.ran++
-		if st.failed(s, &ev) {
-			break
-		}
-		ev.Kind, ev.Patience = generation.Accepted, st.patience()
-		st.backup = send.Backup
-		st.events = eventReader{in: bufio.NewReaderSize(s.res.Body, 512), raw: st.events.raw}
-		if !st.headed {
-			st.headed = true
-			st.relay.head(st.w, s.res)
-			// The first event flushes the header with it, unless it takes long.
-		}
-	}
-	st.do(st.gen.Step(now, ev))
-}
-
-// failed handles an answer that is no stream.
-func (st *streamRun) failed(s *sending, ev *generation.Event) bool {
-	err := s.check()
-	if err == nil && s.res.StatusCode < http.StatusMultipleChoices {
-		return false
-	}
-	ev.Kind = generation.Closed
-	p := &reply{s: s}
-	if err == nil {
-		p.read()
-		if p.err == nil && p.rest == nil {
-			st.own = p
-		}
-	}
-	whole := err == nil && p.err == nil && p.rest == nil
-	st.close(engine.Result{Failed: true}, whole, "failed")
-	return true
-}
-
-func lossWhy0(err error) string {
-	if err == nil {
-		return ""
-	}
-	return lossWhy(err)
-}
-
 // silent is asked when the target has sent nothing by the stream's time.
 func (st *streamRun) silent(now time.Time) (time.Time, bool) {
-	s := st.now
+	s := st.current
 	if s == nil || st.ctx.Err() != nil {
 		return time.Time{}, false
 	}
@@ -298,7 +164,7 @@
 		return time.Time{}, false
 	}
 	st.do(st.gen.Step(now, generation.Event{Kind: generation.Ticked}))
-	if st.now != s || st.gen.Done() {
+	if st.current != s || st.gen.Done() {
 		return time.Time{}, false
 	}
 	return st.wake(now), true
@@ -315,11 +181,11 @@
 
 // pass reads one event and hands it to the stream.
 func (st *streamRun) pass() {
-	s := st.now
+	s := st.current
 	s.conn.wake = st.wake(time.Now())
 	raw, id, numbered, err := st.events.next()
 	now := time.Now()
-	if st.now != s {
+	if st.current != s {
 		return
 	}
 	if err == nil {
@@ -328,12 +194,12 @@
 	}
 	if errors.Is(err, io.EOF) {
 		st.do(st.gen.Step(now, generation.Event{Kind: generation.Ended, Attempt: s.number, Position: st.gen.Position}))
-		if st.now == s {
-			st.close(engine.Result{}, true, "whole")
+		if st.current == s {
+			st.endAttempt(engine.Result{}, true, "whole")
 		}
 		return
 	}
-	st.close(st.lossResult(), false, st.lossWhy(err))
+	st.endAttempt(st.lossResult(), false, st.lossWhy(err))
 	st.do(st.gen.Step(now, generation.Event{Kind: generation.Closed, Attempt: s.number, Target: s.target.ID, Reason: lossWhy(err)}))
 }
 
@@ -401,82 +267,12 @@
 	}
 }
 
-// close ends the open attempt.
-func (st *streamRun) close(result engine.Result, whole bool, why string) {
-	s := st.now
+// endAttempt ends the open attempt.
+func (st *streamRun) endAttempt(result engine.Result, whole bool, why string) {
+	s := st.current
 	if s == nil {
 		return
 	}
-	st.now = nil
+	st.current = nil
 	s.done(time.Now(), result, whole, why)
 }
-
-// finish gives the caller the end of the answer.
-func (st *streamRun) finish() {
-	if st.now != nil {
-		st.close(engine.Result{Cancelled: true}, false, callerGone)
-	}
-	q, r := st.q, st.relay
-	gone := st.q.in.Context().Err() != nil
-	switch {
-	case st.gen.Done() && st.failure == nil && st.ctx.Err() == nil && !st.broken:
-		r.endedStream(st, string(generation.Ran), "whole")
-	case gone:
-		r.endedStream(st, string(generation.Unknown), callerGone)
-		panic(http.ErrAbortHandler)
-	case st.headed:
-		r.endedStream(st, string(generation.Ran), st.why())
-		panic(http.ErrAbortHandler)
-	case st.own != nil && st.ctx.Err() == nil:
-		r.deliver(st.w, q, st.own)
-	default:
-		r.refuse(st.w, q, st.refusal())
-	}
-}
-
-func (st *streamRun) why() string {
-	switch {
-	case st.ctx.Err() != nil:
-		return codeTimeout
-	case st.failure != nil:
-		return st.failure.Code
-	}
-	return codeTargetLost
-}
-
-// refusal returns the answer to a stream of which nothing was sent.
-func (st *streamRun) refusal() *Refusal {
-	switch {
-	case st.ran == 0 && st.refusals > 0:
-		return notRun(codeTargetsRefuse, spreadRetry(refusedRetry))
-	case st.ran == 0:
-		return notRun(codeNoTarget, spreadRetry(startRetry))
-	case st.ctx.Err() != nil:
-		return timedOut()
-	}
-	return &Refusal{Status: http.StatusBadGateway, Code: codeTargetLost, Outcome: generation.Unknown}
-}
-
-// status returns the status of a stream that ended whole, or 0.
-func (st *streamRun) status() int {
-	if st.gen.Done() && st.failure == nil && !st.broken && st.ctx.Err() == nil {
-		return http.StatusOK
-	}
-	return 0
-}
-
-// endedStream logs the end of a stream with the number of its events.
-func (r *Relay) endedStream(st *streamRun, outcome, why string) {
-	now := time.Now()
-	r.Log.Write(now, timeline.Event{
-		Kind: endKind(outcome, why, st.status()), Request: st.q.ID, Outcome: outcome, Why: why, Entry: st.q.route.Name, Workspace: workspaceOf(st.q), Revision: st.q.table.Version,
-		Inputs: []timeline.Input{
-			{Name: "events", Value: int64(st.gen.Position)},
-			{Name: "took_ms", Value: now.Sub(st.q.begun).Milliseconds()},
-			{Name: "attempts", Value: int64(st.q.attempts)},
-			{Name: "first_event_ms", Value: st.firstAfter.Milliseconds()},
-			{Name: "longest_pause_ms", Value: st.longestPause.Milliseconds()},
-			{Name: "after_event", Value: int64(st.q.After)},
-		},
-	})
-}
--- a/internal/relay/stream_test.go
+++ b/internal/relay/stream_test.go
@@ -112,3 +112,15 @@
 	require.Equal(t, http.StatusServiceUnavailable, a.status)
 	require.NotEmpty(t, a.header.Get("Retry-After"))
 }
+
+// Guards against asking several engines for what one has rightly rejected.
+func TestRejectedStreamIsPassedOn(t *testing.T) {
+	reject := func(c net.Conn, r *http.Request, _ string) bool { return whole(c, r, 400, "too long", "Seal: s") }
+	a, b := startStub(t, "e1", reject), startStub(t, "e2", reject)
+	d := startRelay(t, a, b)
+	got := d.ask("POST", "/draft/1", "prompt")
+	require.NoError(t, got.err)
+	require.Equal(t, 400, got.status)
+	require.Equal(t, "too long", got.body)
+	require.Len(t, append(a.seen(), b.seen()...), 1)
+}
