--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -95,6 +95,8 @@
 	// The fields below belong to the goroutine of Run.
 	answered time.Time
 	away     bool
+	// failing is set when a call failed since the last answer.
+	failing bool
 	// unsure is set when changes may have been missed, so that the prefixes have to be read.
 	unsure bool
 	pause  time.Duration
@@ -310,7 +312,9 @@
 	if f.away {
 		f.Log.Write(now, timeline.Event{Kind: "store_regained", Revision: f.Revision(), Inputs: []timeline.Input{{Name: "away_ms", Value: now.Sub(f.answered).Milliseconds()}}})
 	}
-	regained, f.away, f.answered = f.away, false, now
+	// An outage may end before a call fails late enough to be taken for one.
+	regained = f.away || f.failing && now.Sub(f.answered) >= outageAfter
+	f.away, f.failing, f.answered = false, false, now
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastAnswer = now
@@ -322,6 +326,7 @@
 
 // failed notes a call without an answer, asks other instances if the store is away, and waits.
 func (f *Follower) failed(ctx context.Context, now time.Time, err error) {
+	f.failing = true
 	if !f.away && now.Sub(f.answered) >= outageAfter {
 		f.away = true
 		f.Log.Write(now, timeline.Event{Kind: "store_lost", Revision: f.Revision(), Why: reason(err)})
