--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -142,7 +142,7 @@
 func startFollower(t *testing.T, f *Follower) *copyStub {
 	t.Helper()
 	c := &copyStub{}
-	f.Prefixes, f.Apply = []string{"op/", "servers/"}, c.apply
+	f.Prefixes, f.Apply = []string{"operators/", "targets/"}, c.apply
 	f.Init()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -165,43 +165,43 @@
 // Guards against changes that are missed or come late.
 func TestFollowsChanges(t *testing.T) {
 	s := newStoreStub()
-	s.put("op/config", "1")
+	s.put("operators/table", "1")
 	c := startFollower(t, &Follower{Source: s})
-	has(t, c, "op/config", "1", time.Second)
-	s.put("op/config", "2")
-	has(t, c, "op/config", "2", 300*time.Millisecond)
+	has(t, c, "operators/table", "1", time.Second)
+	s.put("operators/table", "2")
+	has(t, c, "operators/table", "2", 300*time.Millisecond)
 	s.put("other/key", "x")
-	s.put("servers/a", "y")
-	has(t, c, "servers/a", "y", 500*time.Millisecond)
+	s.put("targets/a", "y")
+	has(t, c, "targets/a", "y", 500*time.Millisecond)
 	require.Empty(t, c.get("other/key"))
-	s.remove("servers/a")
-	has(t, c, "servers/a", "", 500*time.Millisecond)
+	s.remove("targets/a")
+	has(t, c, "targets/a", "", 500*time.Millisecond)
 }
 
 // Guards against a copy that stays old when the store leaves watches unanswered and then drops
 // its history; a change has to be in force 3 s after the watches went quiet.
 func TestMuteWatchAndLostHistory(t *testing.T) {
 	s := newStoreStub()
-	s.put("op/config", "1")
+	s.put("operators/table", "1")
 	c := startFollower(t, &Follower{Source: s})
-	has(t, c, "op/config", "1", time.Second)
+	has(t, c, "operators/table", "1", time.Second)
 	s.set(func(s *storeStub) { s.mute = true })
 	begun := time.Now()
-	s.put("op/config", "2")
+	s.put("operators/table", "2")
 	time.Sleep(time.Second)
 	s.set(func(s *storeStub) { s.mute, s.compacted, s.events = false, s.revision, nil })
-	has(t, c, "op/config", "2", 3*time.Second-time.Since(begun))
+	has(t, c, "operators/table", "2", 3*time.Second-time.Since(begun))
 }
 
 // Guards against an outage of the store that is taken for the end of all targets.
 func TestOutageIsToldOnce(t *testing.T) {
 	s := newStoreStub()
-	s.put("servers/a", "x")
+	s.put("targets/a", "x")
 	c := startFollower(t, &Follower{Source: s})
-	has(t, c, "servers/a", "x", time.Second)
+	has(t, c, "targets/a", "x", time.Second)
 	s.set(func(s *storeStub) { s.down = true })
 	time.Sleep(outageAfter + 500*time.Millisecond)
-	s.remove("servers/a")
+	s.remove("targets/a")
 	s.set(func(s *storeStub) { s.down = false })
 	require.Eventually(t, func() bool { return c.outages() == 1 }, 2*time.Second, time.Millisecond)
 }
@@ -223,15 +223,15 @@
 func TestAsksOthersWhileTheStoreIsAway(t *testing.T) {
 	s := newStoreStub()
 	s.set(func(s *storeStub) { s.down = true })
-	p := &peersStub{state: State{Revision: 7, Items: []Item{{Key: "op/config", Value: []byte("7"), Revision: 7}}}}
+	p := &peersStub{state: State{Revision: 7, Items: []Item{{Key: "operators/table", Value: []byte("7"), Revision: 7}}}}
 	f := &Follower{Source: s, Peers: p}
 	c := startFollower(t, f)
-	has(t, c, "op/config", "7", time.Second)
+	has(t, c, "operators/table", "7", time.Second)
 	p.mu.Lock()
-	p.state = State{Revision: 6, Items: []Item{{Key: "op/config", Value: []byte("6"), Revision: 6}}}
+	p.state = State{Revision: 6, Items: []Item{{Key: "operators/table", Value: []byte("6"), Revision: 6}}}
 	p.mu.Unlock()
 	time.Sleep(time.Second)
-	require.Equal(t, "7", c.get("op/config"))
+	require.Equal(t, "7", c.get("operators/table"))
 	require.EqualValues(t, 7, f.Revision())
 }
 
@@ -239,7 +239,7 @@
 // ones that go on trusting a reader that has stopped.
 func TestReliesOnReader(t *testing.T) {
 	s := newStoreStub()
-	s.put("op/config", "1")
+	s.put("operators/table", "1")
 	listener := &Follower{Source: s, Name: "b", Reads: func() bool { return false }}
 	listener.Init()
 	var silent atomic.Bool
@@ -257,28 +257,28 @@
 	go func() { _ = reader.Beat(beating) }()
 	defer stop()
 	c := startFollower(t, listener)
-	has(t, c, "op/config", "1", time.Second)
+	has(t, c, "operators/table", "1", time.Second)
 	time.Sleep(WatchWait + 500*time.Millisecond)
 
 	before := watchesOf(s)
-	s.put("servers/a", "x")
-	has(t, c, "servers/a", "x", 300*time.Millisecond)
+	s.put("targets/a", "x")
+	has(t, c, "targets/a", "x", 300*time.Millisecond)
 	large := randomText(4 << 10)
-	s.put("op/config", large)
-	has(t, c, "op/config", large, 500*time.Millisecond)
+	s.put("operators/table", large)
+	has(t, c, "operators/table", large, 500*time.Millisecond)
 	time.Sleep(time.Second)
 	require.LessOrEqual(t, watchesOf(s)-before, 5, "the reader's watches and one of the listener for the large change")
 
 	before = watchesOf(s)
-	s.put("op/config", large[:2000]+"changed"+large[2000:])
-	has(t, c, "op/config", large[:2000]+"changed"+large[2000:], 300*time.Millisecond)
+	s.put("operators/table", large[:2000]+"changed"+large[2000:])
+	has(t, c, "operators/table", large[:2000]+"changed"+large[2000:], 300*time.Millisecond)
 	require.LessOrEqual(t, watchesOf(s)-before, 2, "a small change of a large value is told by the reader")
 
 	stop()
 	silent.Store(true)
 	time.Sleep(beatLife)
-	s.put("servers/b", "y")
-	has(t, c, "servers/b", "y", time.Second)
+	s.put("targets/b", "y")
+	has(t, c, "targets/b", "y", time.Second)
 }
 
 func watchesOf(s *storeStub) int {
