Take an outage as one only where the store did not answer in the meantime

The two instances that read the store for the others were turned away by it for 9.9 s; the others then read it themselves and were in touch. When the readers came back they told of an outage, and all took the removal 45 ms later for an entry that had lapsed, and used the target for another 2.2 s.

Change: a reader tells when its first call failed; an instance to which the store answered later than that has seen no outage. A removal that comes after the first answer of a regained store is kept for 1.5 s at most, since it may be ordered. The log line target_removed says whether the entry is kept.

Ruled out: a late watch (the removal was seen by all within 160 ms) and a lost message (all had revision 120 at 25.07 s).

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -86,17 +86,19 @@
 	items map[string]Item
 	// revision is that of the copy; 0 means that there is none.
 	revision int64
-	// lastAnswer is when the store last answered, regainedAt when it last came back.
+	// lastAnswer is when the store last answered. regainedAt is when it last came back, and lostAt
+	// when the first call failed before that.
 	lastAnswer time.Time
 	regainedAt time.Time
+	lostAt     time.Time
 	news       chan heardNews
 	once       sync.Once
 
 	// The fields below belong to the goroutine of Run.
 	answered time.Time
 	away     bool
-	// failing is set when a call failed since the last answer.
-	failing bool
+	// failedAt is when the first call since the last answer failed, or the zero time.
+	failedAt time.Time
 	// unsure is set when changes may have been missed, so that the prefixes have to be read.
 	unsure bool
 	pause  time.Duration
@@ -188,7 +190,7 @@
 	from := f.Revision()
 	u := f.update(now, got.Revision)
 	f.tell(now, from, got, f.take(&u, got))
-	if len(u.Changed)+len(u.Removed) > 0 || !u.RegainedAt.IsZero() {
+	if len(u.Changed)+len(u.Removed) > 0 || u.RegainedAt.Equal(now) {
 		f.Apply(now, u)
 	}
 	return len(got.Events) > 0, nil
@@ -300,33 +302,42 @@
 
 // update begins an update from an answer of the store.
 func (f *Follower) update(now time.Time, revision int64) Update {
-	u := Update{Revision: revision, From: "store"}
-	if f.answer(now) {
-		u.RegainedAt = now
+	f.answer(now)
+	return Update{Revision: revision, From: "store", RegainedAt: f.lately(now)}
+}
+
+// lately returns when the store came back, if that is not long ago.
+func (f *Follower) lately(now time.Time) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now.Sub(f.regainedAt) >= regainedMemory {
+		return time.Time{}
 	}
-	return u
+	return f.regainedAt
 }
 
-// answer notes that the store answered and reports whether an outage is over.
-func (f *Follower) answer(now time.Time) (regained bool) {
+// answer notes that the store answered, and whether that ends an outage.
+func (f *Follower) answer(now time.Time) {
 	if f.away {
 		f.Log.Write(now, timeline.Event{Kind: "store_regained", Revision: f.Revision(), Inputs: []timeline.Input{{Name: "away_ms", Value: now.Sub(f.answered).Milliseconds()}}})
 	}
 	// An outage may end before a call fails late enough to be taken for one.
-	regained = f.away || f.failing && now.Sub(f.answered) >= outageAfter
-	f.away, f.failing, f.answered = false, false, now
+	regained := f.away || !f.failedAt.IsZero() && now.Sub(f.answered) >= outageAfter
+	lost := f.failedAt
+	f.away, f.failedAt, f.answered = false, time.Time{}, now
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastAnswer = now
 	if regained {
-		f.regainedAt = now
+		f.regainedAt, f.lostAt = now, lost
 	}
-	return regained
 }
 
 // failed notes a call without an answer, asks other instances if the store is away, and waits.
 func (f *Follower) failed(ctx context.Context, now time.Time, err error) {
-	f.failing = true
+	if f.failedAt.IsZero() {
+		f.failedAt = now
+	}
 	if !f.away && now.Sub(f.answered) >= outageAfter {
 		f.away = true
 		f.Log.Write(now, timeline.Event{Kind: "store_lost", Revision: f.Revision(), Why: reason(err)})
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -105,8 +105,8 @@
 	mu    sync.Mutex
 	items map[string]string
 	last  Update
-	// regained counts the updates that told of the end of an outage.
-	regained int
+	// regained holds the ends of outages that were told.
+	regained map[time.Time]bool
 }
 
 func (c *copyStub) apply(_ time.Time, u Update) {
@@ -122,7 +122,10 @@
 		delete(c.items, key)
 	}
 	if !u.RegainedAt.IsZero() {
-		c.regained++
+		if c.regained == nil {
+			c.regained = map[time.Time]bool{}
+		}
+		c.regained[u.RegainedAt] = true
 	}
 	c.last = u
 }
@@ -136,7 +139,7 @@
 func (c *copyStub) outages() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.regained
+	return len(c.regained)
 }
 
 func startFollower(t *testing.T, f *Follower) *copyStub {
@@ -281,6 +284,66 @@
 	has(t, c, "targets/b", "y", time.Second)
 }
 
+// cutSource is a store that one instance alone may lose.
+type cutSource struct {
+	*storeStub
+	cut atomic.Bool
+}
+
+func (c *cutSource) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error) {
+	if c.cut.Load() {
+		return Changes{}, errDown
+	}
+	return c.storeStub.Watch(ctx, prefix, after, wait)
+}
+
+// Guards against removed targets that stay in use because a reader lost the store that answered
+// the others, and against forgetting all targets after an outage that only a reader noticed.
+func TestOutageOfReader(t *testing.T) {
+	for name, all := range map[string]bool{"of the reader alone": false, "of the store": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newStoreStub()
+			s.put("targets/a", "x")
+			listener := &Follower{Source: s, Name: "b", Reads: func() bool { return false }}
+			listener.Init()
+			source := &cutSource{storeStub: s}
+			reader := &Follower{Source: source, Name: "a", Reads: func() bool { return true }, Tell: func(data []byte) bool {
+				listener.Receive(time.Now(), data)
+				return true
+			}}
+			rc := startFollower(t, reader)
+			beating, stop := context.WithCancel(context.Background())
+			go func() { _ = reader.Beat(beating) }()
+			defer stop()
+			c := startFollower(t, listener)
+			has(t, c, "targets/a", "x", time.Second)
+			has(t, rc, "targets/a", "x", time.Second)
+			// Ends the reader's watch, so that the next one fails.
+			s.put("targets/b", "y")
+			has(t, rc, "targets/b", "y", time.Second)
+			source.cut.Store(true)
+			s.set(func(s *storeStub) { s.down = all })
+			lost := time.Now()
+			for i := 0; time.Since(lost) < 3500*time.Millisecond; i++ {
+				time.Sleep(100 * time.Millisecond)
+				if !all {
+					s.put("targets/c", string(rune('a'+i%26)))
+				}
+			}
+			source.cut.Store(false)
+			s.set(func(s *storeStub) { s.down = false })
+			s.put("targets/d", "z")
+			has(t, c, "targets/d", "z", 2*time.Second)
+			has(t, rc, "targets/d", "z", 2*time.Second)
+			// A later change carries what was told of the outage.
+			s.put("targets/e", "z")
+			has(t, c, "targets/e", "z", time.Second)
+			require.Equal(t, 1, rc.outages())
+			require.Equal(t, all, c.outages() > 0)
+		})
+	}
+}
+
 func watchesOf(s *storeStub) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/feed/news.go
+++ b/internal/feed/news.go
@@ -34,8 +34,10 @@
 	// AnsweredMillis is the age of the store's last answer.
 	AnsweredMillis int64 `json:"answered_ms"`
 	// RegainedMillis is the time since the store came back from an outage, or 0 if that is long ago.
-	RegainedMillis int64  `json:"regained_ms,omitempty"`
-	Reader         string `json:"reader"`
+	RegainedMillis int64 `json:"regained_ms,omitempty"`
+	// LostMillis is the time since the reader's first call failed in that outage.
+	LostMillis int64  `json:"lost_ms,omitempty"`
+	Reader     string `json:"reader"`
 }
 
 type newsItem struct {
@@ -111,15 +113,11 @@
 		f.relyUntil = until
 	}
 	have := f.Revision()
-	u := Update{Revision: n.To, From: n.Reader}
-	if n.RegainedMillis > 0 {
-		u.RegainedAt = n.at.Add(-time.Duration(n.RegainedMillis) * time.Millisecond)
-	}
+	f.takeOutage(n)
 	if answered.After(f.answered) {
-		if f.answer(answered) {
-			u.RegainedAt = n.at
-		}
+		f.answer(answered)
 	}
+	u := Update{Revision: n.To, From: n.Reader, RegainedAt: f.lately(n.at)}
 	if n.To <= have {
 		return false
 	}
@@ -141,6 +139,20 @@
 	return false
 }
 
+// takeOutage takes in that the store came back to a reader, unless it answered here in the
+// meantime: then only the reader was cut off, and no entries lapsed.
+func (f *Follower) takeOutage(n heardNews) {
+	lost := n.at.Add(-time.Duration(n.LostMillis) * time.Millisecond)
+	if n.RegainedMillis == 0 || f.answered.After(lost) {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at := n.at.Add(-time.Duration(n.RegainedMillis) * time.Millisecond); at.After(f.regainedAt) {
+		f.regainedAt, f.lostAt = at, lost
+	}
+}
+
 // restore returns a change that another instance told, if the copy, or what the same message told
 // earlier, has what it is a difference to.
 func (f *Follower) restore(c *newsItem, earlier map[string]Item) (Event, bool) {
@@ -239,6 +251,7 @@
 	n := News{From: f.revision, To: f.revision, Reader: f.Name, AnsweredMillis: now.Sub(f.lastAnswer).Milliseconds()}
 	if since := now.Sub(f.regainedAt); !f.regainedAt.IsZero() && since < regainedMemory {
 		n.RegainedMillis = max(since.Milliseconds(), 1)
+		n.LostMillis = now.Sub(f.lostAt).Milliseconds()
 	}
 	return n
 }
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -48,8 +48,8 @@
 	}
 	for _, key := range u.Removed {
 		if id, ok := strings.CutPrefix(key, in.TargetsPrefix); ok {
-			in.Log.Write(now, timeline.Event{Kind: "target_removed", Target: id, Revision: u.Revision})
-			in.roster.Remove(now, id)
+			decision := map[bool]string{true: "kept_after_outage", false: "taken_out"}[in.roster.Remove(now, id)]
+			in.Log.Write(now, timeline.Event{Kind: "target_removed", Target: id, Revision: u.Revision, Decision: decision})
 		}
 	}
 	if u.Whole {
--- a/pkg/route/roster.go
+++ b/pkg/route/roster.go
@@ -12,6 +12,14 @@
 // Entries lapse while the source is away and are written again within about 2 s of its return.
 const ReturnGrace = 2200 * time.Millisecond
 
+const (
+	// sameAnswer is the time after the source's return in which a removal is part of its first answer.
+	sameAnswer = 20 * time.Millisecond
+	// removalGrace bounds ReturnGrace for a removal that the source tells later: it may be ordered,
+	// and a target may get requests for 2 s after that.
+	removalGrace = 1500 * time.Millisecond
+)
+
 // Target is one incarnation of a back end.
 type Target struct {
 	// ID names the incarnation.
@@ -30,15 +38,15 @@
 // entry is a target with what is known of its entry.
 type entry struct {
 	Target
-	// missing is when the entry was found to be gone after an outage, or the zero time.
-	missing time.Time
+	// out is when the entry, found to be gone after an outage, is taken out, or the zero time.
+	out time.Time
 }
 
 // Roster holds the targets that an instance may use; its zero value is ready for use.
 type Roster struct {
 	entries map[string]*entry
-	// graceEnds is until when a removed entry may only have lapsed in an outage.
-	graceEnds time.Time
+	// returned is when the source came back after its last outage.
+	returned time.Time
 }
 
 // Put takes in a target's entry and reports whether it differs from what was known.
@@ -51,19 +59,25 @@
 	return old == nil || old.Target != t
 }
 
-// Remove takes out an entry that was removed at its source, at once unless an outage may be the reason.
-func (r *Roster) Remove(now time.Time, id string) {
+// Remove takes out an entry that was removed at its source, at once unless an outage may be the
+// reason; it reports whether the entry is kept for now.
+func (r *Roster) Remove(now time.Time, id string) (kept bool) {
 	e := r.entries[id]
 	if e == nil {
-		return
+		return false
 	}
-	if now.Before(r.graceEnds) {
-		if e.missing.IsZero() {
-			e.missing = now
-		}
-		return
+	until := r.returned.Add(ReturnGrace)
+	if limit := now.Add(removalGrace); now.Sub(r.returned) > sameAnswer && limit.Before(until) {
+		until = limit
 	}
-	delete(r.entries, id)
+	if r.returned.IsZero() || !now.Before(until) {
+		delete(r.entries, id)
+		return false
+	}
+	if e.out.IsZero() {
+		e.out = until
+	}
+	return true
 }
 
 // Discard takes out an entry that can't be used.
@@ -80,22 +94,21 @@
 
 // Regained tells when the source answered again after an outage.
 func (r *Roster) Regained(at time.Time) {
-	if ends := at.Add(ReturnGrace); ends.After(r.graceEnds) {
-		r.graceEnds = ends
+	if at.After(r.returned) {
+		r.returned = at
 	}
 }
 
 // Sweep takes out the entries that did not come back in time, and returns when to sweep again, or the zero time.
 func (r *Roster) Sweep(now time.Time) (next time.Time) {
 	for id, e := range r.entries {
-		if e.missing.IsZero() {
-			continue
-		}
-		if !now.Before(r.graceEnds) {
+		switch {
+		case e.out.IsZero():
+		case !now.Before(e.out):
 			delete(r.entries, id)
-			continue
+		case next.IsZero() || e.out.Before(next):
+			next = e.out
 		}
-		next = r.graceEnds
 	}
 	return next
 }
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -77,12 +77,18 @@
 	r.Remove(t0, "a")
 	require.Equal(t, 1, r.Len(), "without an outage a removed entry goes at once")
 
+	r.Put(testTarget("c", "10.0.0.3:1", 0))
 	r.Regained(t0.Add(time.Second))
-	r.Remove(t0.Add(1100*time.Millisecond), "b")
-	require.Equal(t, t0.Add(time.Second+ReturnGrace), r.Sweep(t0.Add(2*time.Second)))
-	require.Equal(t, 1, r.Len(), "its entry may only have lapsed in the outage")
+	require.True(t, r.Remove(t0.Add(1005*time.Millisecond), "b"))
+	require.True(t, r.Remove(t0.Add(1100*time.Millisecond), "c"))
+	require.Equal(t, t0.Add(1100*time.Millisecond+removalGrace), r.Sweep(t0.Add(2*time.Second)))
+	require.Equal(t, 2, r.Len(), "their entries may only have lapsed in the outage")
+	require.Equal(t, t0.Add(time.Second+ReturnGrace), r.Sweep(t0.Add(1100*time.Millisecond+removalGrace)))
+	require.Equal(t, 1, r.Len(), "a removal after the return may have been ordered")
 	r.Sweep(t0.Add(time.Second + ReturnGrace))
 	require.Zero(t, r.Len())
+	r.Put(testTarget("d", "10.0.0.4:1", 0))
+	require.False(t, r.Remove(t0.Add(time.Second+ReturnGrace), "d"))
 }
 
 // Guards against losing a target whose entry came back in time.
