Make a killed instance silent at once, and wait for the first sender of orders to stop

Cause of TestTickets (known red): Kill of the in-process deployment ended an instance by its context only, so that the instance could still answer a forwarded call after Kill had returned; the answer was that of the one run, so no promise was broken. A process that is killed answers nothing more. Kill now closes the listeners and all links before it returns.

Cause of TestRolesOfCatalogue (known red): the trace shows that the first sender (fence 1) corrected the role 130 ms after the second one (fence 2) had begun, since its own lease had not run out; the platform's fault had ended it early. The engine had then not heard of fence 2, and took the late order. That is allowed, and why orders have fences. The test now waits until no instance sends with fence 1; what it checks is unchanged.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -331,13 +331,17 @@
 	}
 }
 
-// Kill ends the instance as a crash would: targets are not told.
+// Kill ends the instance as a crash would: targets are not told. When it returns, the instance
+// takes no connection and all links to targets and other instances are closed.
 func (in *Instance) Kill() {
 	in.once.Do(func() {
 		close(in.cut)
 		in.links.deployment.Platform.Unregister(in.ID)
-		in.Client.CloseIdleConnections()
 		in.cancel()
+		_ = in.Network.Listener.Close()
+		_ = in.Listener.Close()
+		in.links.closeAll()
+		in.Client.CloseIdleConnections()
 	})
 }
 
--- a/internal/deployment/links.go
+++ b/internal/deployment/links.go
@@ -84,6 +84,14 @@
 	}
 }
 
+func (l *links) closeAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		_ = c.Conn.Close()
+	}
+}
+
 func (l *links) dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil || !l.deployment.reaches(l.owner, to) {
--- a/internal/deployment/role_test.go
+++ b/internal/deployment/role_test.go
@@ -58,6 +58,17 @@
 	return wanted, held
 }
 
+// oldestSender returns the lowest fencing number of the instances that send orders, or 0 if none does.
+func (tr *trial) oldestSender() int64 {
+	oldest := int64(0)
+	for _, in := range tr.Instances {
+		if r, _ := server.Roles.Get(in.Board); r.Fence > 0 && (oldest == 0 || r.Fence < oldest) {
+			oldest = r.Fence
+		}
+	}
+	return oldest
+}
+
 // TestRolesOfCatalogue guards against roles of the catalogue that engines do not get or
 // keep, at engines that honour fencing numbers and at engines that ignore them.
 func TestRolesOfCatalogue(t *testing.T) {
@@ -77,6 +88,8 @@
 			begun := tr.decidersBegun()
 			tr.raiseFence()
 			require.Eventually(t, func() bool { return tr.decidersBegun() > begun }, trialWait, time.Millisecond)
+			// The first sender goes on until its own lease has run out, and may correct a role too.
+			require.Eventually(t, func() bool { return tr.oldestSender() > 1 }, trialWait, time.Millisecond)
 			// An order that the first sender sent long ago arrives only now, at an engine
 			// that has not heard of a newer sender, since its role needed no order.
 			late := order.Order{Fence: 1, Kind: order.Role, Model: deployment.ModelName, Role: "prefill"}
