Measure the readers' times only when the engine has ended its answers

Cause of TestTokenTimesBesideStoppedReaders (known red): the test waited for the held bytes to stay the same for 400 ms and then measured, while the stand-in engine, slowed down by the race detector beside load, still wrote the answers of the 200 stopped readers: its own work was in the ratio (profile: 79% of the processor time in the stand-in). The test now also waits until the engine's bytes stand still, and logs how many it wrote in the meantime. Bound and readers are unchanged.

--- a/internal/server/slow_test.go
+++ b/internal/server/slow_test.go
@@ -12,6 +12,7 @@
 	"runtime"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -190,6 +191,7 @@
 // TestTokenTimesBesideStoppedReaders guards against stopped readers that slow down the others.
 func TestTokenTimesBesideStoppedReaders(t *testing.T) {
 	fast, paced := fastEngine{tokenBytes: 8}, fastEngine{tokenBytes: 8, gap: 10 * time.Millisecond}
+	sent := atomic.Int64{}
 	engines := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		data, _ := io.ReadAll(r.Body)
 		r.Body = io.NopCloser(bytes.NewReader(data))
@@ -197,7 +199,7 @@
 			paced.ServeHTTP(w, r)
 			return
 		}
-		fast.ServeHTTP(w, r)
+		fast.ServeHTTP(&countingWriter{w, &sent}, r)
 	})
 	in := startInstance(t, quickDetach(), startEngine(t, engines))
 	alone := pacedTime(t, in)
@@ -205,12 +207,33 @@
 		openReader(t, in.Address(), fmt.Sprint("p", i), 1<<17)
 	}
 	settle(in)
+	// Until the engine has ended its answers, the times would show its work and not the readers'.
+	for before := int64(-1); before != sent.Load(); time.Sleep(400 * time.Millisecond) {
+		before = sent.Load()
+	}
+	before := sent.Load()
 	beside := pacedTime(t, in)
-	t.Logf("time for 100 tokens: %v alone, %v beside stopped readers, ratio %.3f", alone, beside, float64(beside)/float64(alone))
+	t.Logf("time for 100 tokens: %v alone, %v beside stopped readers, ratio %.3f, %d bytes sent for these in the meantime",
+		alone, beside, float64(beside)/float64(alone), sent.Load()-before)
 	// The target is 1.1; the margin is for a busy machine.
 	require.Less(t, beside, 2*alone)
 }
 
+// countingWriter counts the bytes of an answer.
+type countingWriter struct {
+	http.ResponseWriter
+	n *atomic.Int64
+}
+
+func (c *countingWriter) Write(b []byte) (int, error) {
+	n, err := c.ResponseWriter.Write(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+// Unwrap lets the engine flush.
+func (c *countingWriter) Unwrap() http.ResponseWriter { return c.ResponseWriter }
+
 // pacedTime returns how long 20 readers at once take for 100 paced tokens.
 func pacedTime(t *testing.T, in *testInstance) time.Duration {
 	begin := time.Now()
