Stop an attempt that registers after its request was marked

The mark stops the attempts that are registered; this one was placed before the mark and registered after it, ran for 1.2 s, and took down a third engine. The attempt now looks at the marks when it registers, under the lock that marking holds, and is stopped before it is sent.

Ruled out: late marks from other instances (all three had the mark within 1 ms).

--- a/internal/server/crash.go
+++ b/internal/server/crash.go
@@ -71,6 +71,10 @@
 		t.inside[target] = map[*taken]struct{}{}
 	}
 	t.inside[target][r] = struct{}{}
+	if stop != nil && t.suspects.Marked(r.begun, digest) {
+		// It was marked since the request was placed.
+		stop()
+	}
 	return r, func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
--- /dev/null
+++ b/internal/server/crash_test.go
@@ -0,0 +1,32 @@
+package server
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bambooferry.example/bambooferry/pkg/booking"
+)
+
+// TestAttemptOfMarkedRequestStops guards against an attempt that is placed just before its request
+// is marked and registered just after it, and takes down a third target.
+func TestAttemptOfMarkedRequestStops(t *testing.T) {
+	k := &calls{crashes: crashTable{inside: map[string]map[*taken]struct{}{}, suspects: booking.Suspects{Life: time.Minute, Most: 9}}}
+	now := time.Now()
+	request := booking.CrashRequest{Digest: "poison", Position: 150, AgeMillis: 1500, Output: true, FirstMillis: 10}
+	var marked []string
+	for i, target := range []string{"engine-0", "engine-1"} {
+		at := now.Add(time.Duration(i) * time.Millisecond).UnixMilli()
+		marked = append(marked, k.crashes.suspects.Report(now, booking.Crash{Target: target, At: at, Requests: []booking.CrashRequest{request}})...)
+	}
+	require.Equal(t, []string{"poison"}, marked)
+	stopped := 0
+	stop := func() { stopped++ }
+	_, leave := k.running("engine-5", "poison", 44, stop)
+	leave()
+	require.Equal(t, 1, stopped)
+	_, leave = k.running("engine-5", "innocent", 44, stop)
+	leave()
+	require.Equal(t, 1, stopped)
+}
