Find the successors of crashed engines at their addresses

Change: after the loss of a target an instance asks its address which incarnation is there. For the platform's address reuse time (2 s) after the target's last answer no other service can have the address, so that the answer proves pool and version; later answers prove nothing. The time of the last answer is when all before it had been read, so that a paused process takes no old bytes for new ones. The finder tells the others; an entry replaces what was found.

--- a/internal/gossip/loads.go
+++ b/internal/gossip/loads.go
@@ -29,6 +29,9 @@
 	// incarnation answers.
 	Lost []string `json:"lost,omitempty"`
 	Gone []string `json:"gone,omitempty"`
+	// Successors names the incarnations that this instance has found at the addresses of lost
+	// targets, by the target that each follows.
+	Successors map[string]string `json:"successors,omitempty"`
 }
 
 type loadMessage struct {
@@ -64,7 +67,7 @@
 			return ctx.Err()
 		}
 		m := loadMessage{Instance: l.Instance, Progress: l.Own(time.Now())}
-		empty = len(m.Shares)+len(m.Sendings) == 0
+		empty = len(m.Shares)+len(m.Sendings)+len(m.Successors) == 0
 		if err := l.tell(&m); err != nil {
 			return err
 		}
@@ -85,10 +88,10 @@
 		if err != nil {
 			return errors.Wrap(err, "loads")
 		}
-		if l.Socket.Tell(KindLoads, data) || len(m.Lost)+len(m.Gone) == 0 {
+		if l.Socket.Tell(KindLoads, data) || len(m.Lost)+len(m.Gone)+len(m.Successors) == 0 {
 			return nil
 		}
-		m.Lost, m.Gone = nil, nil
+		m.Lost, m.Gone, m.Successors = nil, nil, nil
 	}
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -158,6 +158,11 @@
 		s.relay.conns.drop(s.target.Address)
 	}
 	s.q.pool.ended(now, s.target, result, s.silent, took)
+	// Only what came after the target's own answer is a sign of it: another one may be at its
+	// address, and a kept connection may have carried another one's answers.
+	if result.Unreachable && s.res != nil && s.res.StatusCode != http.StatusMisdirectedRequest {
+		s.relay.awaitSuccessor(s.q.pool, s.target, s.conn.heardAt)
+	}
 	kind := timeline.AttemptEnded
 	if s.left && !whole {
 		kind = timeline.AttemptLost
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -59,6 +59,8 @@
 	RequestID string
 	// Sealed tells that the answer carries the target's proof of origin.
 	Sealed bool
+	// Incarnation names the target that answers, if it says so.
+	Incarnation string
 	// NotRun tells that the target states that it did not run the request.
 	NotRun bool
 	// Encoded tells that the body is not the target's own.
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -47,8 +47,11 @@
 	used bool
 	// idleUntil is when the connection must not be used any more.
 	idleUntil time.Time
-	// heard tells that the target sent something since the request was sent.
-	heard bool
+	// heard tells that the target sent something since the request was sent. What was read last
+	// came after heardAt, which is when all that had come before was read at readAt.
+	heard   bool
+	heardAt time.Time
+	readAt  time.Time
 }
 
 func newConn(c net.Conn, to netip.AddrPort) *conn {
@@ -71,11 +74,11 @@
 		}
 		n, err := c.Conn.Read(b)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.heard = c.heard || n > 0
+			c.hear(time.Now(), n)
 			return n, err
 		}
 		if n, err := c.again(b); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.heard = c.heard || n > 0
+			c.hear(time.Now(), n)
 			return n, err
 		}
 		if c.silence == nil {
@@ -89,6 +92,13 @@
 	}
 }
 
+// hear notes that n bytes were read. They may have come long ago, if the process was paused.
+func (c *conn) hear(now time.Time, n int) {
+	if n > 0 {
+		c.heard, c.heardAt, c.readAt = true, c.readAt, now
+	}
+}
+
 // again reads what has come while the process was paused.
 func (c *conn) again(b []byte) (int, error) {
 	if err := c.SetReadDeadline(time.Now().Add(recheck)); err != nil {
@@ -99,7 +109,7 @@
 
 // exchange sends a request and returns the next answer's header.
 func (c *conn) exchange(r *http.Request) (*http.Response, error) {
-	c.heard = false
+	c.heard, c.readAt = false, time.Now()
 	sent := r.Write(c.Conn)
 	if sent != nil {
 		// A target that refuses early may answer without taking all of the body.
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -57,7 +57,7 @@
 func (testCodec) Answer(_ time.Time, res *http.Response) Answer {
 	return Answer{
 		RequestID: res.Header.Get("Id"), Sealed: res.Header.Get("Seal") != "", NotRun: res.Header.Get("Not-Run") != "",
-		Encoded: res.Header.Get("Content-Encoding") != "",
+		Encoded: res.Header.Get("Content-Encoding") != "", Incarnation: res.Header.Get("Target"),
 	}
 }
 
@@ -69,6 +69,8 @@
 	address netip.AddrPort
 	// handle writes the answer and reports whether the connection stays open.
 	handle func(c net.Conn, r *http.Request, body string) bool
+	// end closes the stub's address.
+	end func() error
 
 	mu       sync.Mutex
 	requests []string
@@ -82,10 +84,15 @@
 
 func startStub(t *testing.T, id string, handle func(c net.Conn, r *http.Request, body string) bool) *engineStub {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return startStubAt(t, "127.0.0.1:0", id, handle)
+}
+
+func startStubAt(t *testing.T, address, id string, handle func(c net.Conn, r *http.Request, body string) bool) *engineStub {
+	t.Helper()
+	ln, err := net.Listen("tcp", address)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
-	e := &engineStub{id: id, address: ln.Addr().(*net.TCPAddr).AddrPort(), handle: handle}
+	e := &engineStub{id: id, address: ln.Addr().(*net.TCPAddr).AddrPort(), handle: handle, end: ln.Close}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -171,7 +178,7 @@
 }
 
 func testRelayTable() *route.Table {
-	pools := []route.Pool{{Name: "p", Model: &route.Model{Slots: 8, MemoryTokens: 1000, Backups: true}}}
+	pools := []route.Pool{{Name: "p", HealthPath: "/health", Model: &route.Model{Slots: 8, MemoryTokens: 1000, Backups: true}}}
 	return route.NewTable(1, route.Limits{MaxBodyBytes: 1 << 10, IdleTimeout: time.Minute}, testRoutes, pools, map[string]*route.Workspace{"k": {Name: "w"}})
 }
 
@@ -188,7 +195,7 @@
 	for i, s := range stubs {
 		list = append(list, route.Target{ID: s.id, Pool: "p", Address: s.address, DataCentre: string(rune('a' + i)), Slots: 8})
 	}
-	targets.Update(table, map[string][]route.Target{"p": list})
+	targets.Update(time.Now(), table, map[string][]route.Target{"p": list})
 	TableKey.Put(board, table)
 	d := &deployment{t: t, front: front.Addr().String(), ready: ready.Addr().String(), done: make(chan error, 1)}
 	d.relay = &Relay{DataCentre: "a", Front: front, Ready: ready, Codec: testCodec{}, Board: board, Targets: targets, Grace: 4 * time.Second, Rotation: 100 * time.Millisecond}
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -98,7 +98,7 @@
 	if in.table == nil {
 		return
 	}
-	in.Targets.Update(in.table, in.roster.Targets())
+	in.Targets.Update(now, in.table, in.roster.Targets())
 	if old, ok := TableKey.Get(in.Board); !ok || old != in.table {
 		TableKey.Put(in.Board, in.table)
 	}
--- a/internal/relay/losses_test.go
+++ b/internal/relay/losses_test.go
@@ -68,7 +68,7 @@
 	table := testRelayTable()
 	targets := &Targets{DataCentre: "a", RetryShare: 0.5, RetrySlack: 20, RetryWindow: 10 * time.Second, Instances: func() int { return 1 }}
 	entry := route.Target{ID: "e1", Pool: "p", Slots: 8, Born: t0}
-	targets.Update(table, map[string][]route.Target{"p": {entry}})
+	targets.Update(time.Now(), table, map[string][]route.Target{"p": {entry}})
 	p := targets.pool("p")
 	p.misdirected("e1")
 	_, _, ok := p.choose(t0, "a", question{})
@@ -76,13 +76,13 @@
 	require.Equal(t, []string{"e1"}, targets.Own(t0).Gone)
 
 	other := &Targets{DataCentre: "a", RetryShare: 0.5, RetrySlack: 20, RetryWindow: 10 * time.Second, Instances: func() int { return 1 }}
-	other.Update(table, map[string][]route.Target{"p": {entry}})
+	other.Update(time.Now(), table, map[string][]route.Target{"p": {entry}})
 	other.Others(t0, "i1", targets.Own(t0))
 	_, _, ok = other.pool("p").choose(t0, "a", question{})
 	require.False(t, ok, "other instances hear of it")
 
 	entry.Born = t0.Add(time.Second)
-	targets.Update(table, map[string][]route.Target{"p": {entry}})
+	targets.Update(time.Now(), table, map[string][]route.Target{"p": {entry}})
 	_, _, ok = p.choose(t0, "a", question{})
 	require.True(t, ok)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,6 +56,9 @@
 	stopping atomic.Pointer[time.Time]
 	numbers  instruments
 	once     sync.Once
+	// searches are for successors of lost targets; background ends them.
+	searches   sync.WaitGroup
+	background context.Context
 }
 
 func (r *Relay) init() {
@@ -71,9 +74,12 @@
 	front := &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxCallerHeader, ConnState: r.callers.state}
 	ready := &http.Server{Handler: http.HandlerFunc(r.answerReady), ReadHeaderTimeout: headerTimeout}
 	group, running := errgroup.WithContext(context.WithoutCancel(ctx))
+	ended, end := context.WithCancel(running)
+	r.background = ended
+	defer r.searches.Wait()
+	defer end()
 	group.Go(func() error { return served(front.Serve(r.Front)) })
 	group.Go(func() error { return served(ready.Serve(r.Ready)) })
-	ended, end := context.WithCancel(running)
 	group.Go(func() error { r.sweep(ended); return nil })
 	select {
 	case <-ctx.Done():
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -34,6 +34,8 @@
 	// Instances returns the number of instances.
 	Instances func() int
 	Seed      uint64
+	// AddressReuse is the time after a target's end in which no other pool gets its address, or 0.
+	AddressReuse time.Duration
 
 	mu    sync.RWMutex
 	pools map[string]*pool
@@ -43,9 +45,15 @@
 
 // pool is what is known of one pool.
 type pool struct {
-	mu        sync.Mutex
-	model     *route.Model
-	targets   []route.Target
+	mu         sync.Mutex
+	model      *route.Model
+	healthPath string
+	// targets are those that have an entry, which listed holds, and the successors.
+	targets    []route.Target
+	listed     []route.Target
+	successors route.Successors
+	// awaiting holds the lost targets whose successors are looked for.
+	awaiting  map[string]bool
 	engines   engine.Pool
 	gaps      generation.Gaps
 	delay     booking.Delay
@@ -58,7 +66,7 @@
 }
 
 // Update takes in the pools of a table and the targets of a roster.
-func (s *Targets) Update(table *route.Table, targets map[string][]route.Target) {
+func (s *Targets) Update(now time.Time, table *route.Table, targets map[string][]route.Target) {
 	changed := s.Changed()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -71,7 +79,7 @@
 			p = s.newPool()
 		}
 		conf, _ := table.Pool(name)
-		p.update(conf.Model, targets[name])
+		p.update(now, conf, targets[name])
 		s.pools[name] = p
 	}
 }
@@ -91,6 +99,7 @@
 	shares := map[string]engine.Share{}
 	sendings := map[string]booking.Sendings{}
 	var lost, gone []string
+	successors := map[string]string{}
 	for name, p := range s.all() {
 		p.mu.Lock()
 		if own := p.budget.Own(now); own != (booking.Sendings{}) {
@@ -101,9 +110,10 @@
 			lost = append(lost, p.lost.recent(now)...)
 			gone = slices.AppendSeq(gone, maps.Keys(p.gone))
 		}
+		maps.Copy(successors, p.successors.Own())
 		p.mu.Unlock()
 	}
-	return gossip.Progress{Shares: shares, Sendings: sendings, Lost: lost, Gone: gone}
+	return gossip.Progress{Shares: shares, Sendings: sendings, Lost: lost, Gone: gone, Successors: successors}
 }
 
 // Others takes in what another instance tells of its targets.
@@ -118,6 +128,11 @@
 				p.leaveOut(id)
 			}
 		}
+		for former, id := range told.Successors {
+			if t := p.find(former); t.ID != "" {
+				p.join(now, t, id, false)
+			}
+		}
 		p.mu.Unlock()
 	}
 }
@@ -135,6 +150,7 @@
 	}
 	return &pool{
 		changed: s.changed, engines: engine.Pool{Policy: chosen}, lost: newLosses(), gone: map[string]route.Target{},
+		successors: route.Successors{AddressReuse: s.AddressReuse}, awaiting: map[string]bool{},
 		budget: booking.SharedBudget{Share: s.RetryShare, Slack: s.RetrySlack, Window: s.RetryWindow}, instances: s.Instances,
 	}
 }
@@ -145,12 +161,13 @@
 	return s.pools[name]
 }
 
-func (p *pool) update(m *route.Model, targets []route.Target) {
+func (p *pool) update(now time.Time, conf *route.Pool, listed []route.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.model, p.targets = m, targets
-	names := make([]string, 0, len(targets))
-	for _, t := range targets {
+	p.model, p.healthPath, p.listed = conf.Model, conf.HealthPath, listed
+	p.targets = p.successors.Join(now, listed)
+	names := make([]string, 0, len(p.targets))
+	for _, t := range p.targets {
 		names = append(names, t.ID)
 	}
 	p.engines.Keep(names)
@@ -285,6 +302,8 @@
 	p.tell()
 	if r.Unreachable {
 		p.lost.saw(now, t.ID, silent)
+	} else if !r.Failed && !r.Cancelled {
+		p.successors.Answered(now, t.ID)
 	}
 }
 
