Let the last change of a key count in an update

The entries had lapsed in an outage and were back at once. Removals and new entries came in one update, which lists items and removals apart: the removal was applied after the entry and took the target out for good, as its entry does not change again. Changes told twice by two readers could do the same.

Change: an update holds the last change of each key, and changes up to the copy's revision are left out. Ruled out: the successors (no such line in the trace); the shorter grace of removals (they were found in the first answer).

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -197,12 +197,15 @@
 }
 
 // take puts the changes of a watch into the copy and into u, and returns the items that were replaced.
+//
+// Of several changes of one key u gets the last one: it has no order between items and removals.
 func (f *Follower) take(u *Update, got Changes) map[string]Item {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	replaced := map[string]Item{}
+	changed := map[string]bool{}
 	for _, ev := range got.Events {
-		if !f.covers(ev.Key) || f.items[ev.Key].Revision >= ev.Revision {
+		if !f.covers(ev.Key) || ev.Revision <= f.revision || f.items[ev.Key].Revision >= ev.Revision {
 			continue
 		}
 		if old, ok := f.items[ev.Key]; ok {
@@ -210,13 +213,19 @@
 				replaced[ev.Key] = old
 			}
 		}
+		changed[ev.Key] = true
 		if ev.Removed {
 			delete(f.items, ev.Key)
-			u.Removed = append(u.Removed, ev.Key)
 			continue
 		}
 		f.items[ev.Key] = ev.Item
-		u.Changed = append(u.Changed, ev.Item)
+	}
+	for key := range changed {
+		if it, ok := f.items[key]; ok {
+			u.Changed = append(u.Changed, it)
+		} else {
+			u.Removed = append(u.Removed, key)
+		}
 	}
 	f.revision = max(f.revision, got.Revision)
 	return replaced
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -181,6 +181,39 @@
 	has(t, c, "targets/a", "", 500*time.Millisecond)
 }
 
+// Guards against a target whose entry lapsed and came back between two looks, and is taken for gone.
+func TestLastChangeOfKeyCounts(t *testing.T) {
+	s := newStoreStub()
+	s.put("targets/a", "x")
+	s.put("targets/b", "x")
+	c := startFollower(t, &Follower{Source: s})
+	has(t, c, "targets/b", "x", time.Second)
+	s.put("operators/table", "1")
+	has(t, c, "operators/table", "1", time.Second)
+	// The follower pauses now, so that these come together.
+	s.remove("targets/a")
+	s.put("targets/a", "x")
+	s.put("targets/b", "y")
+	s.remove("targets/b")
+	has(t, c, "targets/b", "", time.Second)
+	require.Equal(t, "x", c.get("targets/a"))
+}
+
+// Guards against a target that is removed again by news of changes that the listener has had before.
+func TestOldNewsIsLeftOut(t *testing.T) {
+	f := &Follower{Prefixes: []string{"targets/"}}
+	f.Init()
+	f.take(&Update{}, Changes{Revision: 4, Events: []Event{{Item: Item{Key: "targets/a", Revision: 3}, Removed: true}}})
+	u := Update{}
+	f.take(&u, Changes{Revision: 6, Events: []Event{
+		{Item: Item{Key: "targets/a", Revision: 2}}, {Item: Item{Key: "targets/a", Revision: 3}, Removed: true},
+		{Item: Item{Key: "targets/a", Value: []byte("x"), Revision: 5}},
+	}})
+	require.Empty(t, u.Removed)
+	require.Len(t, u.Changed, 1)
+	require.EqualValues(t, 5, u.Changed[0].Revision)
+}
+
 // Guards against a copy that stays old when the store leaves watches unanswered and then drops
 // its history; a change has to be in force 3 s after the watches went quiet.
 func TestMuteWatchAndLostHistory(t *testing.T) {
