Read the store in place of readers that can't reach it within 2 s

The store refused both instances that read it for the others; these relied on the readers' last answer for 2.7 s.

Change: a reader tells when two calls in a row failed, and a listener then relies on the other one or reads itself. For readers that get no answer at all a watch lasts 1.2 s in place of 2, and counts for 1.6 s in place of 2.7. Ruled out: the changes to outages told by readers (the times in the trace are those of the reliance alone).

--- a/internal/feed/follower.go
+++ b/internal/feed/follower.go
@@ -14,12 +14,15 @@
 )
 
 const (
-	// WatchWait bounds one watch. A store that drops its history may leave watches unanswered; one
-	// that hears nothing is given up after WatchWait and watchMargin, within the 3 s after which
-	// the copy has to be current again.
-	WatchWait = 2 * time.Second
+	// WatchWait bounds one watch. A store that drops its history, or is cut off, may leave watches
+	// unanswered; one that hears nothing is given up after WatchWait and watchMargin. A change has
+	// to be in force within 2 s, and by then others have to have read it in place of a reader.
+	WatchWait = 1200 * time.Millisecond
 	// watchMargin is what a watch may take beyond its wait; a slow store takes 300 ms.
-	watchMargin = 700 * time.Millisecond
+	watchMargin = 400 * time.Millisecond
+	// tellFailures is the number of calls in a row after whose failure a reader tells that it
+	// can't read; one alone may be lost by chance.
+	tellFailures = 2
 	// CallTimeout bounds a read.
 	CallTimeout = 1500 * time.Millisecond
 	// gather is the pause after a watch that brought changes, since each call has a price and
@@ -91,8 +94,10 @@
 	lastAnswer time.Time
 	regainedAt time.Time
 	lostAt     time.Time
-	news       chan heardNews
-	once       sync.Once
+	// failures counts the calls that failed since then.
+	failures int
+	news     chan heardNews
+	once     sync.Once
 
 	// The fields below belong to the goroutine of Run.
 	answered time.Time
@@ -102,14 +107,14 @@
 	// unsure is set when changes may have been missed, so that the prefixes have to be read.
 	unsure bool
 	pause  time.Duration
-	// relyUntil is until when other instances read the store for this one.
-	relyUntil time.Time
+	// relyUntil is until when other instances read the store for this one, by reader.
+	relyUntil map[string]time.Time
 }
 
 // Init prepares the follower for messages that come before Run.
 func (f *Follower) Init() {
 	f.once.Do(func() {
-		f.items = map[string]Item{}
+		f.items, f.relyUntil = map[string]Item{}, map[string]time.Time{}
 		f.news = make(chan heardNews, newsRoom)
 	})
 }
@@ -336,7 +341,7 @@
 	f.away, f.failedAt, f.answered = false, time.Time{}, now
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.lastAnswer = now
+	f.lastAnswer, f.failures = now, 0
 	if regained {
 		f.regainedAt, f.lostAt = now, lost
 	}
@@ -347,6 +352,7 @@
 	if f.failedAt.IsZero() {
 		f.failedAt = now
 	}
+	f.tellFailure(now)
 	if !f.away && now.Sub(f.answered) >= outageAfter {
 		f.away = true
 		f.Log.Write(now, timeline.Event{Kind: "store_lost", Revision: f.Revision(), Why: reason(err)})
--- a/internal/feed/follower_test.go
+++ b/internal/feed/follower_test.go
@@ -206,7 +206,8 @@
 	f.take(&Update{}, Changes{Revision: 4, Events: []Event{{Item: Item{Key: "targets/a", Revision: 3}, Removed: true}}})
 	u := Update{}
 	f.take(&u, Changes{Revision: 6, Events: []Event{
-		{Item: Item{Key: "targets/a", Revision: 2}}, {Item: Item{Key: "targets/a", Revision: 3}, Removed: true},
+		{Item: Item{Key: "targets/a", Revision: 2}},
+		{Item: Item{Key: "targets/a", Revision: 3}, Removed: true},
 		{Item: Item{Key: "targets/a", Value: []byte("x"), Revision: 5}},
 	}})
 	require.Empty(t, u.Removed)
@@ -321,13 +322,27 @@
 type cutSource struct {
 	*storeStub
 	cut atomic.Bool
+	// silent tells that calls get no answer, and not an error, while it is cut.
+	silent bool
 }
 
 func (c *cutSource) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error) {
-	if c.cut.Load() {
+	for ends := time.Now().Add(wait); time.Now().Before(ends) && ctx.Err() == nil && !c.cut.Load(); {
+		if got, err := c.storeStub.Watch(ctx, prefix, after, 5*time.Millisecond); err != nil || len(got.Events) > 0 {
+			if c.cut.Load() {
+				break
+			}
+			return got, err
+		}
+	}
+	switch {
+	case c.cut.Load() && c.silent:
+		<-ctx.Done()
+		return Changes{}, ctx.Err()
+	case c.cut.Load():
 		return Changes{}, errDown
 	}
-	return c.storeStub.Watch(ctx, prefix, after, wait)
+	return c.storeStub.Watch(ctx, prefix, after, 0)
 }
 
 // Guards against removed targets that stay in use because a reader lost the store that answered
@@ -377,6 +392,40 @@
 	}
 }
 
+// Guards against a change that comes late since both readers can't reach the store that answers
+// the others: it has to be in force 2 s after the store took it.
+func TestChangeWhileReadersAreCutOff(t *testing.T) {
+	for name, silent := range map[string]bool{"refused": false, "unanswered": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newStoreStub()
+			s.put("operators/table", "1")
+			listener := &Follower{Source: s, Name: "c", Reads: func() bool { return false }}
+			listener.Init()
+			var sources []*cutSource
+			for _, name := range []string{"a", "b"} {
+				source := &cutSource{storeStub: s, silent: silent}
+				sources = append(sources, source)
+				reader := &Follower{Source: source, Name: name, Reads: func() bool { return true }, Tell: func(data []byte) bool {
+					listener.Receive(time.Now(), data)
+					return true
+				}}
+				startFollower(t, reader)
+				beating, stop := context.WithCancel(context.Background())
+				go func() { _ = reader.Beat(beating) }()
+				defer stop()
+			}
+			c := startFollower(t, listener)
+			has(t, c, "operators/table", "1", time.Second)
+			time.Sleep(WatchWait + watchMargin)
+			for _, source := range sources {
+				source.cut.Store(true)
+			}
+			s.put("operators/table", "2")
+			has(t, c, "operators/table", "2", 2*time.Second)
+		})
+	}
+}
+
 func watchesOf(s *storeStub) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/feed/news.go
+++ b/internal/feed/news.go
@@ -38,6 +38,8 @@
 	// LostMillis is the time since the reader's first call failed in that outage.
 	LostMillis int64  `json:"lost_ms,omitempty"`
 	Reader     string `json:"reader"`
+	// Failing tells that the reader's calls to the store fail.
+	Failing bool `json:"failing,omitempty"`
 }
 
 type newsItem struct {
@@ -78,7 +80,33 @@
 func (f *Follower) reads() bool { return f.Reads == nil || f.Reads() }
 
 // relies reports whether another instance has lately told that it reads the store.
-func (f *Follower) relies(now time.Time) bool { return now.Before(f.relyUntil) }
+func (f *Follower) relies(now time.Time) bool { return now.Before(f.reliesUntil()) }
+
+// reliesUntil returns until when this instance relies on others.
+func (f *Follower) reliesUntil() time.Time {
+	until := time.Time{}
+	for _, at := range f.relyUntil {
+		if at.After(until) {
+			until = at
+		}
+	}
+	return until
+}
+
+// rely notes what a message says of its reader.
+func (f *Follower) rely(n *heardNews, answered time.Time) {
+	until := minTime(n.at.Add(beatLife), answered.Add(answerLife))
+	if n.Failing {
+		delete(f.relyUntil, n.Reader)
+	} else if until.After(f.relyUntil[n.Reader]) {
+		f.relyUntil[n.Reader] = until
+	}
+	for reader, at := range f.relyUntil {
+		if !n.at.Before(at) {
+			delete(f.relyUntil, reader)
+		}
+	}
+}
 
 // heard takes in the news that have come, and reports whether the copy is behind.
 func (f *Follower) heard() (behind bool) {
@@ -94,7 +122,7 @@
 
 // hear waits for news for as long as others read the store, and reports whether the copy is behind.
 func (f *Follower) hear(ctx context.Context) (behind bool) {
-	t := time.NewTimer(time.Until(f.relyUntil))
+	t := time.NewTimer(time.Until(f.reliesUntil()))
 	defer t.Stop()
 	select {
 	case n := <-f.news:
@@ -109,9 +137,7 @@
 // takeNews takes in one message and reports whether the copy lacks changes that it tells of.
 func (f *Follower) takeNews(n heardNews) (behind bool) {
 	answered := n.at.Add(-time.Duration(n.AnsweredMillis) * time.Millisecond)
-	if until := minTime(n.at.Add(beatLife), answered.Add(answerLife)); until.After(f.relyUntil) {
-		f.relyUntil = until
-	}
+	f.rely(&n, answered)
 	have := f.Revision()
 	f.takeOutage(n)
 	if answered.After(f.answered) {
@@ -249,6 +275,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := News{From: f.revision, To: f.revision, Reader: f.Name, AnsweredMillis: now.Sub(f.lastAnswer).Milliseconds()}
+	n.Failing = f.failures >= tellFailures
 	if since := now.Sub(f.regainedAt); !f.regainedAt.IsZero() && since < regainedMemory {
 		n.RegainedMillis = max(since.Milliseconds(), 1)
 		n.LostMillis = now.Sub(f.lostAt).Milliseconds()
@@ -256,6 +283,17 @@
 	return n
 }
 
+// tellFailure counts a call that failed and tells the others when they should read themselves.
+func (f *Follower) tellFailure(now time.Time) {
+	f.mu.Lock()
+	f.failures++
+	told := f.failures == tellFailures && f.revision > 0
+	f.mu.Unlock()
+	if told && f.Tell != nil && f.reads() {
+		f.send(f.beat(now), nil)
+	}
+}
+
 // regainedMemory is how long the return of the store is told.
 const regainedMemory = 5 * time.Second
 
