Bound the wait for the roster at a stop by a setting

Platforms kill after 8 s. Change: -leave-wait, 3 s by default, so that drain and leaving stay under 8 s; a warning says what was given up. Ruled out: streams and calls in progress (none), the drain (2 s, has its own setting). After: TestStopWhileServiceIsAway passes (bound: 8 s less the default drain). What a stop without the service costs is unchanged: its slots come back when the others miss it.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -31,8 +31,9 @@
 const (
 	platformTimeout = 2 * time.Second
 	dialTimeout     = time.Second
-	// leaveWait bounds the time in which an instance that stops takes itself off the roster.
-	leaveWait = 10 * time.Second
+	// defaultLeaveWait and the drain together stay under the 8 s after which platforms kill a
+	// process that was asked to stop.
+	defaultLeaveWait = 3 * time.Second
 )
 
 func serve(ctx context.Context, e Environment, args []string) error {
@@ -50,6 +51,8 @@
 	s.check("store-loads", func() bool { return *storeLoads > 0 }, "must be at least 1")
 	routing := s.String("routing", server.DefaultRouting, "`policy` by which targets are chosen: "+strings.Join(policy.Names(), ", "))
 	s.check("routing", func() bool { return slices.Contains(policy.Names(), *routing) }, "must be one of "+strings.Join(policy.Names(), ", "))
+	leaveWait := s.Duration("leave-wait", defaultLeaveWait, "longest `time` in which an instance that stops takes itself off the roster")
+	s.check("leave-wait", func() bool { return *leaveWait >= time.Millisecond }, "must be at least 1ms")
 	peers := peerFlags(s)
 	limits := server.DefaultLimits()
 	limitFlags(s, &limits)
@@ -97,7 +100,7 @@
 		return err
 	}
 	pump := startEvents(in)
-	err = runInstance(ctx, in, network, slots, metricsAt.IsValid(), metricsAt.String())
+	err = runInstance(ctx, in, network, slots, *leaveWait, metricsAt.IsValid(), metricsAt.String())
 	endEvents(in, pump, err)
 	return err
 }
@@ -176,7 +179,7 @@
 }
 
 // runInstance runs an instance until the second signal, or the end of its graceful stop.
-func runInstance(ctx context.Context, in *server.Server, network *peer.Network, slots *server.Slots, withMetrics bool, metricsAt string) error {
+func runInstance(ctx context.Context, in *server.Server, network *peer.Network, slots *server.Slots, leaveWait time.Duration, withMetrics bool, metricsAt string) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop, stopped := context.WithCancel(ctx)
@@ -190,7 +193,9 @@
 		}
 		leave, done := context.WithTimeout(ctx, leaveWait)
 		defer done()
-		_ = slots.Leave(leave)
+		if err := slots.Leave(leave); err != nil {
+			in.Log.Warn().Err(err).Dur("waited", leaveWait).Msg("the instance could not take itself off the roster; its slots come back when the others miss it")
+		}
 		return nil
 	})
 	g.Go(func() error { return slots.Run(ctx) })
--- a/internal/command/signal_test.go
+++ b/internal/command/signal_test.go
@@ -18,6 +18,7 @@
 	"bambooferry.example/bambooferry/internal/caller"
 	"bambooferry.example/bambooferry/internal/operator"
 	client "bambooferry.example/bambooferry/internal/platform"
+	"bambooferry.example/bambooferry/internal/server"
 	"bambooferry.example/bambooferry/internal/standin/engine"
 	"bambooferry.example/bambooferry/internal/standin/platform"
 	"bambooferry.example/bambooferry/pkg/catalogue"
@@ -27,6 +28,12 @@
 
 // startTargets starts an engine and a platform that holds a catalogue with it, and returns the platform's address.
 func startTargets(t *testing.T) (string, *engine.Engine) {
+	service, e := startService(t)
+	return service.Listener.Addr().String(), e
+}
+
+// startService starts an engine and a platform that holds a catalogue with it.
+func startService(t *testing.T) (*httptest.Server, *engine.Engine) {
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &engine.Engine{
 		Listen: netip.MustParseAddrPort("127.0.0.1:0"), Model: "ferry-llm", Versions: []string{"v1"}, Slots: 8, Limit: 16,
@@ -50,11 +57,10 @@
 	require.NoError(t, d.Check())
 	data, err := json.Marshal(&d)
 	require.NoError(t, err)
-	at := service.Listener.Addr().String()
-	store := client.Client{Address: netip.MustParseAddrPort(at), HTTP: &http.Client{}, Timeout: time.Second}
+	store := client.Client{Address: netip.MustParseAddrPort(service.Listener.Addr().String()), HTTP: &http.Client{}, Timeout: time.Second}
 	_, err = store.Swap(t.Context(), operator.Key, 0, data)
 	require.NoError(t, err)
-	return at, e
+	return service, e
 }
 
 // startServe starts one instance and waits until it is ready.
@@ -132,3 +138,19 @@
 	require.NoError(t, err)
 	require.Equal(t, whole.Text, next.Text)
 }
+
+// TestStopWhileServiceIsAway guards against a stop that waits for the key-value service longer than
+// platforms wait for a process, and says nothing of it.
+func TestStopWhileServiceIsAway(t *testing.T) {
+	cursorKey := filepath.Join(t.TempDir(), "cursor")
+	require.NoError(t, os.WriteFile(cursorKey, []byte(strings.Repeat("ab", 32)), 0o600))
+	service, _ := startService(t)
+	p, _ := startServe(t, service.Listener.Addr().String(), cursorKey)
+	service.CloseClientConnections()
+	service.Close()
+	begun := time.Now()
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, p.Wait(), "%s", p.logs.String())
+	require.Less(t, time.Since(begun), 8*time.Second-server.DefaultLimits().DrainWait, "without the drain, of which the test has 0.2 s")
+	require.Contains(t, p.logs.String(), "could not take itself off the roster")
+}
