Refuse requests that crash one engine after another on the platform

A crash is told from a lost connection by one dial, and told to the other instances by datagram. The decision of the product's own interface (two targets, weighed by position) is not used: on the platform a third of all engines crash together every 6 s, and it would blame streams that were lost twice. Before: TestRequestThatCrashesEngines fails with the marks switched off. After: it passes.

--- a/internal/gossip/socket.go
+++ b/internal/gossip/socket.go
@@ -19,6 +19,8 @@
 	KindLoads Kind = 'l'
 	// KindNews tells of changes in the platform's store.
 	KindNews Kind = 'n'
+	// KindCrash tells of requests that crash targets.
+	KindCrash Kind = 'c'
 )
 
 // Socket sends and takes messages; call Handle before Run.
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -167,6 +167,12 @@
 	if s.left && !whole {
 		kind = timeline.AttemptLost
 	}
+	if kind == timeline.AttemptLost && why == connectionLost {
+		s.relay.suspect(s)
+	}
+	if whole && !s.answer.NotRun {
+		s.relay.Crashes.served(s.q)
+	}
 	s.relay.numbers.attempt(s.q, why)
 	s.relay.Log.Write(now, timeline.Event{
 		Kind: kind, Request: s.q.ID, Target: s.target.ID, Attempt: s.number, Why: why,
@@ -216,5 +222,8 @@
 	if silent := (*SilentError)(nil); errors.As(err, &silent) {
 		return "silent"
 	}
-	return "connection_lost"
+	return connectionLost
 }
+
+// connectionLost is the reason of an attempt whose connection was reset or closed.
+const connectionLost = "connection_lost"
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -125,7 +125,8 @@
 
 // mayRepeat reports whether the call may go to a target after another may have run it.
 func (c *callRun) mayRepeat() bool {
-	return c.q.route.Repeats() && c.ran < c.q.route.MaxAttempts && time.Now().Before(c.q.deadline)
+	now := time.Now()
+	return c.q.route.Repeats() && c.ran < c.q.route.MaxAttempts && now.Before(c.q.deadline) && !c.relay.Crashes.marked(now, c.q)
 }
 
 // take handles a reply and reports whether the call is over.
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -198,7 +198,7 @@
 	targets.Update(time.Now(), table, map[string][]route.Target{"p": list})
 	TableKey.Put(board, table)
 	d := &deployment{t: t, front: front.Addr().String(), ready: ready.Addr().String(), done: make(chan error, 1)}
-	d.relay = &Relay{DataCentre: "a", Front: front, Ready: ready, Codec: testCodec{}, Board: board, Targets: targets, Grace: 4 * time.Second, Rotation: 100 * time.Millisecond}
+	d.relay = &Relay{DataCentre: "a", Front: front, Ready: ready, Codec: testCodec{}, Board: board, Targets: targets, Crashes: &Crashes{}, Grace: 4 * time.Second, Rotation: 100 * time.Millisecond}
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
 	go func() { d.done <- d.relay.Run(ctx) }()
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -22,6 +22,7 @@
 	codeTimeout       = "timeout"
 	codeTargetLost    = "target_lost"
 	codeBadAnswer     = "bad_answer"
+	codeCrashes       = "crashes_targets"
 )
 
 // callerGone is the reason of a request whose caller has left, or whose instance was stopped at once.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -44,6 +44,8 @@
 	Board *blackboard.Board
 	// Targets is what is known of the targets.
 	Targets *Targets
+	// Crashes is what is known of requests that crash targets.
+	Crashes *Crashes
 	Log     *timeline.Writer
 	Metrics *metrics.Set
 	// Grace is the time from a stop until the process is killed, Rotation the part of it in which
@@ -56,7 +58,8 @@
 	stopping atomic.Pointer[time.Time]
 	numbers  instruments
 	once     sync.Once
-	// searches are for successors of lost targets; background ends them.
+	// searches look at the addresses of lost targets until background ends.
+	searchMu   sync.Mutex
 	searches   sync.WaitGroup
 	background context.Context
 }
@@ -76,8 +79,7 @@
 	group, running := errgroup.WithContext(context.WithoutCancel(ctx))
 	ended, end := context.WithCancel(running)
 	r.background = ended
-	defer r.searches.Wait()
-	defer end()
+	defer r.endSearches(end)
 	group.Go(func() error { return served(front.Serve(r.Front)) })
 	group.Go(func() error { return served(ready.Serve(r.Ready)) })
 	group.Go(func() error { r.sweep(ended); return nil })
@@ -91,6 +93,22 @@
 	return group.Wait()
 }
 
+// search runs f in the background unless the relay has stopped.
+func (r *Relay) search(f func()) {
+	r.searchMu.Lock()
+	defer r.searchMu.Unlock()
+	if r.background.Err() == nil {
+		r.searches.Go(f)
+	}
+}
+
+func (r *Relay) endSearches(end func()) {
+	r.searchMu.Lock()
+	end()
+	r.searchMu.Unlock()
+	r.searches.Wait()
+}
+
 func served(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -59,6 +59,10 @@
 		r.refuse(w, q, f)
 		return
 	}
+	if r.Crashes.marked(now, q) {
+		r.refuse(w, q, notRun(codeCrashes, markedRetry))
+		return
+	}
 	ctx, cancel := context.WithDeadline(in.Context(), q.deadline)
 	defer cancel()
 	r.numbers.begun(q)
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -52,7 +52,8 @@
 	if st.ran > 0 && (!st.q.route.Repeats() || st.ran >= st.q.route.MaxAttempts) {
 		return true
 	}
-	return !st.q.pool.spend(time.Now())
+	now := time.Now()
+	return st.relay.Crashes.marked(now, st.q) || !st.q.pool.spend(now)
 }
 
 // choose prefers the engine that holds a copy of the run's memory.
--- a/internal/relay/succession.go
+++ b/internal/relay/succession.go
@@ -29,7 +29,7 @@
 	if !ok {
 		return
 	}
-	r.searches.Go(func() {
+	r.search(func() {
 		defer p.awaited(t.ID)
 		ctx, cancel := context.WithDeadline(r.background, deadline)
 		defer cancel()
