--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -167,7 +167,7 @@
 	if s.left && !whole {
 		kind = timeline.AttemptLost
 	}
-	if kind == timeline.AttemptLost && why == connectionLost {
+	if result.Unreachable && s.left && why == connectionLost {
 		s.relay.suspect(s)
 	}
 	if whole && !s.answer.NotRun {
