Restart a stream's timers when its loop was delayed

Cause: TestBudget's streams ended with engines_lost on a busy machine. Traced by its event log: the process took no step for 1 to 4.5 s, after which each stream found its engines silent and opened up to four attempts; these added to the load, and the ended streams gave their bytes back before the late request came.

Change: a loop that runs more than 100 ms after it was due reports Delayed to the decision core, which restarts the timers; an engine that stays silent is replaced one timeout later.

Ruled out: the number of tokens that the engine of the test makes (512 bytes a token in place of 8: 5 of 6 processes still failed).

--- a/internal/server/stream.go
+++ b/internal/server/stream.go
@@ -58,6 +58,10 @@
 	observer evidenceObserver
 }
 
+// maxLoopDelay is the delay of a stream's loop from which the time that passed shows nothing about its
+// engines; it is well below the shortest silence timeout.
+const maxLoopDelay = 100 * time.Millisecond
+
 // heldSlot is a slot that the stream holds at a target.
 type heldSlot struct {
 	TargetChoice
@@ -114,6 +118,10 @@
 		default:
 		}
 		st.detach(time.Now())
+		if time.Since(wake) > maxLoopDelay {
+			st.handleEvent(ctx, generation.Event{Kind: generation.Delayed})
+			return
+		}
 		st.handleEvent(ctx, generation.Event{Kind: generation.Ticked})
 	case <-ctx.Done():
 		st.abandonReason = abandonCause(ctx)
--- a/pkg/generation/event.go
+++ b/pkg/generation/event.go
@@ -37,6 +37,9 @@
 	Queued
 	// Dequeued reports that a queued attempt is now sent to its target.
 	Dequeued
+	// Delayed reports that the process did not run when the stream was due, so that the time since
+	// then shows nothing about the targets.
+	Delayed
 )
 
 // Event reports something that happened to a stream.
--- a/pkg/generation/stream.go
+++ b/pkg/generation/stream.go
@@ -123,6 +123,8 @@
 		s.pause()
 	case Resumed:
 		s.resume(now)
+	case Delayed:
+		s.restartTimers(now)
 	case Abandoned:
 		s.abandon("caller_gone")
 	case Ticked:
@@ -196,6 +198,19 @@
 	}
 }
 
+// restartTimers restarts the timers after the process did not run for a while.
+//
+// Without it a busy instance would treat its own delay as silence of the engines, and the attempts
+// that replace them would add to its load.
+func (s *Stream) restartTimers(now time.Time) {
+	s.lastProgressAt = now
+	for _, a := range s.attempts {
+		if !a.silent {
+			a.lastHeardAt = now
+		}
+	}
+}
+
 // reattachOrBeginElsewhere asks the last target for its record if it may have one, and otherwise begins
 // an attempt elsewhere.
 func (s *Stream) reattachOrBeginElsewhere(now time.Time, reason string) {
--- a/pkg/generation/stream_test.go
+++ b/pkg/generation/stream_test.go
@@ -104,3 +104,24 @@
 		require.Equal(t, "generation_diverged", got[len(got)-1].Err.Code)
 	}
 }
+
+// Guards against a busy or frozen instance that takes its own delay for silence of an engine.
+func TestDelayedProcessDoesNotSuspectTheEngine(t *testing.T) {
+	s := streamWithOneToken(t)
+	require.Equal(t, t0.Add(400*time.Millisecond), s.NextTick())
+	require.Empty(t, step(s, 3*time.Second, Event{Kind: Delayed}))
+	require.Equal(t, t0.Add(3400*time.Millisecond), s.NextTick())
+	require.Equal(t, Reattach, step(s, 3400*time.Millisecond, Event{Kind: Ticked})[0].Mode, "an engine that stays silent must still be replaced")
+}
+
+// Guards against giving up on an engine while the process could not run.
+func TestDelayedProcessDoesNotGiveUp(t *testing.T) {
+	s := testStream()
+	s.Timeouts.Accept = time.Minute
+	step(s, 0, Event{Kind: Started})
+	require.Equal(t, t0.Add(defaultAcceptWait), s.NextTick())
+	require.Empty(t, step(s, 5*time.Second, Event{Kind: Delayed}))
+	require.False(t, s.Done())
+	got := step(s, 5*time.Second+defaultAcceptWait, Event{Kind: Ticked})
+	require.Equal(t, Fail, got[len(got)-1].Kind, "an engine that never accepts must still be given up")
+}
