Give the second kill of a resume test time on a busy machine

Cause: 'second engine killed during the resume' kills the second engine once it has taken the request over. With a first token of 20 ms, a kill later than 10 ms after the take-up is evidence that the request crashes engines (compareCrashes: half of the first engine's prefill), and the refusal is right. The event log of a failed run shows it: both crashes at position 27, the mark follows the second one.

Change: the engines of this case prefill for 600 ms, so that the kill falls within the prefill, as the case says. Its checks are unchanged.

Ruled out: a wrong count of crashes; each failed run had exactly these two.

--- a/internal/deployment/faults_test.go
+++ b/internal/deployment/faults_test.go
@@ -93,6 +93,10 @@
 	cfg.Limits.SilenceTimeouts = generation.Timeouts{FirstToken: 10 * time.Second, NextToken: time.Second, Accept: 10 * time.Second}
 }
 
+// longPrefill gives a fault in the second engine's prefill time to happen on a busy machine: an engine that
+// crashes after half of the first one's prefill is evidence against the request.
+func longPrefill(cfg *deployment.Config) { cfg.EngineTemplate.FirstToken = 600 * time.Millisecond }
+
 func shortResumeTimeout(cfg *deployment.Config) { cfg.Limits.ResumeTimeout = 1500 * time.Millisecond }
 
 var faultCases = []faultCase{
@@ -128,7 +132,7 @@
 		busyEngine(t, d).Kill()
 		d.Instances[0].Kill()
 	}},
-	{name: "second engine killed during the resume", minStarted: 3, wantConnections: 1, inject: func(t *testing.T, d *deployment.Deployment) {
+	{name: "second engine killed during the resume", configure: longPrefill, minStarted: 3, wantConnections: 1, inject: func(t *testing.T, d *deployment.Deployment) {
 		busyEngine(t, d).Kill()
 		go func() {
 			for startedAttempts(d) < 2 {
