Follow a store that is restored from a copy

Cause: the copy ordered the store's states by revision alone. After a restore revisions go back and are given out again: an instance missed changes until the revisions had passed its own, kept items that the restore had lost, renewed and ended leases by numbers that may belong to others by then, and took a second restore for none.

Change: each answer's era is read (platform/store.go); versions are ordered by era and revision in the copy, in messages between instances and in feed.Later, whose new fields are zero for an older build. A higher era voids watch position, pages and leases. A reader sends the difference that the restore has made, so that the others need no read; without it they read within 300 ms. Entries that the copy lacks have the time to come back that they have after an outage; a target that was leaving stays so, one that was removed counts as leaving for 8 s unless it writes again; members that are missing are kept for 5 s and list themselves again within a second. An unreadable era counts as the latest one and is logged at most once in 10 s; an earlier one voids the answer.

--- a/internal/feed/broadcast.go
+++ b/internal/feed/broadcast.go
@@ -30,9 +30,15 @@
 // It holds the changes after FromRevision up to ToRevision; the two are equal when nothing has
 // changed since the last message.
 type ChangeMessage struct {
-	FromRevision int64        `json:"from"`
-	ToRevision   int64        `json:"to"`
-	Changed      []changeItem `json:"changed,omitempty"`
+	FromRevision int64 `json:"from"`
+	ToRevision   int64 `json:"to"`
+	// Era is the store's era of ToRevision, FromEra that of FromRevision.
+	Era     int64 `json:"era,omitempty"`
+	FromEra int64 `json:"from_era,omitempty"`
+	// Restored is set if Changed is the whole difference that a restore of the store has made to the
+	// copy at FromRevision.
+	Restored bool         `json:"restored,omitempty"`
+	Changed  []changeItem `json:"changed,omitempty"`
 	// ResponseAgeMillis is the age of the store's last response.
 	ResponseAgeMillis int64 `json:"answered_ms"`
 	// OutageEndedMillis is the time since the store recovered from an outage, or 0 if it was not
@@ -52,13 +58,18 @@
 	Text     string `json:"text,omitempty"`
 	Value    []byte `json:"value,omitempty"`
 	Revision int64  `json:"revision"`
+	Era      int64  `json:"era,omitempty"`
 	Removed  bool   `json:"removed,omitempty"`
 	// BaseRevision is the revision of the item that Delta is relative to; Text and Value are empty
 	// then.
 	BaseRevision int64  `json:"base,omitempty"`
+	BaseEra      int64  `json:"base_era,omitempty"`
 	Delta        []byte `json:"packed,omitempty"`
 }
 
+func (m *ChangeMessage) from() Version { return Version{Era: m.FromEra, Revision: m.FromRevision} }
+func (m *ChangeMessage) to() Version   { return Version{Era: m.Era, Revision: m.ToRevision} }
+
 // HandleMessage queues a message from another instance.
 func (r *Replicator) HandleMessage(now time.Time, data []byte) {
 	decoded, err := difference.Decode(nil, data, maxMessageSize)
@@ -118,7 +129,7 @@
 	for {
 		select {
 		case message := <-r.messages:
-			behind = r.applyMessage(message) || behind && message.ToRevision > r.Revision()
+			behind = r.applyMessage(message) || behind && message.to().After(r.Version())
 		default:
 			return behind
 		}
@@ -143,21 +154,35 @@
 // applyMessage applies one message and reports whether the copy lacks changes that the message
 // announces.
 func (r *Replicator) applyMessage(message receivedMessage) (behind bool) {
+	version := r.Version()
+	if message.Era < version.Era {
+		// The reader has not noticed the restore of the store yet.
+		return false
+	}
 	respondedAt := message.receivedAt.Add(-time.Duration(message.ResponseAgeMillis) * time.Millisecond)
 	r.recordReader(&message, respondedAt)
-	revision := r.Revision()
+	r.ObserveEra(message.Era)
 	r.applyOutage(message)
 	if respondedAt.After(r.lastContactAt) {
 		r.recordResponse(respondedAt)
 	}
-	update := Update{Revision: message.ToRevision, Source: message.Reader, OutageEndedAt: r.recentOutageEnd(message.receivedAt)}
-	if message.ToRevision <= revision {
+	update := Update{Revision: message.ToRevision, Era: message.Era, Source: message.Reader}
+	if message.Era > version.Era {
+		if version.Revision != 0 && r.applyRestore(&message, &update) {
+			update.OutageEndedAt = r.recentOutageEnd(message.receivedAt)
+			r.Apply(time.Now(), update)
+			return false
+		}
+		return true
+	}
+	update.OutageEndedAt = r.recentOutageEnd(message.receivedAt)
+	if !message.to().After(version) || message.FromEra != message.Era {
 		return false
 	}
-	if len(message.Changed) == 0 || message.FromRevision > revision || r.needsFullRead {
+	if len(message.Changed) == 0 || message.FromRevision > version.Revision || r.needsFullRead {
 		return true
 	}
-	changes := Changes{Revision: message.ToRevision}
+	changes := Changes{Revision: message.ToRevision, Era: message.Era}
 	earlier := map[string]Item{}
 	for i := range message.Changed {
 		ev, ok := r.decodeChange(&message.Changed[i], earlier)
@@ -189,7 +214,7 @@
 // decodeChange decodes a received change. A delta needs its base revision in the copy or earlier in
 // the same message; without it, decodeChange returns false.
 func (r *Replicator) decodeChange(change *changeItem, earlier map[string]Item) (Event, bool) {
-	ev := Event{Item: Item{Key: change.Key, Value: change.Value, Revision: change.Revision}, Removed: change.Removed}
+	ev := Event{Item: Item{Key: change.Key, Value: change.Value, Revision: change.Revision, Era: change.Era}, Removed: change.Removed}
 	if change.Text != "" {
 		ev.Value = []byte(change.Text)
 	}
@@ -202,7 +227,7 @@
 		old = r.items[change.Key]
 		r.mu.Unlock()
 	}
-	if old.Revision != change.BaseRevision {
+	if old.Revision != change.BaseRevision || old.Era != change.BaseEra {
 		return ev, false
 	}
 	var err error
@@ -213,7 +238,7 @@
 // encodeChange encodes a change for a message; a large value becomes a delta to the item that it
 // replaces.
 func encodeChange(ev *Event, old Item) changeItem {
-	change := changeItem{Key: ev.Key, Revision: ev.Revision, Removed: ev.Removed}
+	change := changeItem{Key: ev.Key, Revision: ev.Revision, Era: ev.Era, Removed: ev.Removed}
 	if utf8.Valid(ev.Value) {
 		change.Text = string(ev.Value)
 	} else {
@@ -226,13 +251,13 @@
 	if err != nil || len(delta) >= len(ev.Value) {
 		return change
 	}
-	change.Text, change.Value, change.BaseRevision, change.Delta = "", nil, old.Revision, delta
+	change.Text, change.Value, change.BaseRevision, change.BaseEra, change.Delta = "", nil, old.Revision, old.Era, delta
 	return change
 }
 
 // broadcastChanges sends changes to the other instances, in as many messages as they need.
-func (r *Replicator) broadcastChanges(now time.Time, fromRevision int64, changes Changes, replaced map[string]Item) {
-	if r.Broadcast == nil || !r.isReader() || changes.Revision <= fromRevision {
+func (r *Replicator) broadcastChanges(now time.Time, from Version, changes Changes, replaced map[string]Item) {
+	if r.Broadcast == nil || !r.isReader() || !changes.version().After(from) {
 		return
 	}
 	encoded := make([]changeItem, 0, len(changes.Events))
@@ -242,7 +267,7 @@
 		replaced[ev.Key] = ev.Item
 	}
 	message := r.newHeartbeat(now)
-	message.FromRevision, message.ToRevision = fromRevision, changes.Revision
+	message.FromRevision, message.FromEra, message.ToRevision, message.Era = from.Revision, from.Era, changes.Revision, changes.Era
 	r.sendMessage(message, encoded)
 }
 
@@ -251,12 +276,8 @@
 // it.
 func (r *Replicator) sendMessage(message ChangeMessage, items []changeItem) {
 	message.Changed = items
-	encoded, err := json.Marshal(message)
-	if err != nil {
-		return
-	}
-	data, err := difference.Encode(nil, encoded)
-	if err != nil || r.Broadcast(data) {
+	data, ok := encodeMessage(&message)
+	if !ok || r.Broadcast(data) {
 		return
 	}
 	if len(items) <= 1 {
@@ -271,6 +292,16 @@
 	r.sendMessage(second, items[half:])
 }
 
+// encodeMessage encodes and compresses a message.
+func encodeMessage(message *ChangeMessage) ([]byte, bool) {
+	encoded, err := json.Marshal(message)
+	if err != nil {
+		return nil, false
+	}
+	data, err := difference.Encode(nil, encoded)
+	return data, err == nil
+}
+
 const (
 	// deltaThreshold is the size from which a value is sent as a delta.
 	deltaThreshold = 600
@@ -283,7 +314,7 @@
 func (r *Replicator) newHeartbeat(now time.Time) ChangeMessage {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	message := ChangeMessage{FromRevision: r.revision, ToRevision: r.revision, Reader: r.InstanceName, ResponseAgeMillis: now.Sub(r.lastResponseAt).Milliseconds()}
+	message := ChangeMessage{FromRevision: r.version.Revision, ToRevision: r.version.Revision, FromEra: r.version.Era, Era: r.version.Era, Reader: r.InstanceName, ResponseAgeMillis: now.Sub(r.lastResponseAt).Milliseconds()}
 	message.Failing = r.failures >= failuresBeforeReport
 	if sinceEnd := now.Sub(r.outageEndedAt); !r.outageEndedAt.IsZero() && sinceEnd < outageReportWindow {
 		message.OutageEndedMillis = max(sinceEnd.Milliseconds(), 1)
@@ -297,7 +328,7 @@
 func (r *Replicator) recordFailure(now time.Time) {
 	r.mu.Lock()
 	r.failures++
-	report := r.failures == failuresBeforeReport && r.revision > 0
+	report := r.failures == failuresBeforeReport && r.version.Revision > 0
 	r.mu.Unlock()
 	if report && r.Broadcast != nil && r.isReader() {
 		r.sendMessage(r.newHeartbeat(now), nil)
--- a/internal/feed/membership.go
+++ b/internal/feed/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -17,6 +18,10 @@
 // milliseconds.
 const peerCallTimeout = 200 * time.Millisecond
 
+// restoredMemberGrace is how long members that a restored store lacks are kept: they list themselves
+// again within restoreWriteSpread and the time of two calls.
+const restoredMemberGrace = 5 * time.Second
+
 // Member describes an instance in the store.
 type Member struct {
 	Name       string         `json:"name"`
@@ -43,13 +48,19 @@
 
 	mu      sync.Mutex
 	members map[string]Member
+	// missing holds the time until which members that a restored store lacks are kept.
+	missing map[string]time.Time
 }
 
 // Apply applies the members of an update. The last known members are kept while the store is
-// unavailable, since their leases expire then.
-func (m *Membership) Apply(update Update) {
+// unavailable, since their leases expire then, and for a while after it was restored from a copy.
+func (m *Membership) Apply(now time.Time, update Update) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	var former map[string]Member
+	if update.Restored {
+		former, m.missing = maps.Clone(m.members), map[string]time.Time{}
+	}
 	if update.Full || m.members == nil {
 		m.members = map[string]Member{}
 	}
@@ -57,10 +68,30 @@
 		member := Member{}
 		if strings.HasPrefix(it.Key, m.KeyPrefix) && json.Unmarshal(it.Value, &member) == nil && member.Address.IsValid() {
 			m.members[it.Key] = member
+			delete(m.missing, it.Key)
 		}
 	}
 	for _, key := range update.Removed {
 		delete(m.members, key)
+		delete(m.missing, key)
+	}
+	m.keepMissing(now, former)
+}
+
+// keepMissing keeps the members before a restore that the restored store lacks until they had the time
+// to list themselves again; the caller holds mu.
+func (m *Membership) keepMissing(now time.Time, former map[string]Member) {
+	for key, member := range former {
+		if _, listed := m.members[key]; !listed {
+			m.missing[key] = now.Add(restoredMemberGrace)
+			m.members[key] = member
+		}
+	}
+	for key, until := range m.missing {
+		if !now.Before(until) {
+			delete(m.missing, key)
+			delete(m.members, key)
+		}
 	}
 }
 
@@ -112,8 +143,8 @@
 	return slices.DeleteFunc(list, func(a netip.AddrPort) bool { return a == m.Self })
 }
 
-// FetchSnapshotAfter asks two random members at a time until one has a copy newer than a revision.
-func (m *Membership) FetchSnapshotAfter(ctx context.Context, after int64) (Snapshot, string, bool) {
+// FetchSnapshotAfter asks two random members at a time until one has a copy newer than a version.
+func (m *Membership) FetchSnapshotAfter(ctx context.Context, after Version) (Snapshot, string, bool) {
 	list := m.OtherAddresses()
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	for len(list) > 0 && ctx.Err() == nil {
@@ -132,15 +163,16 @@
 	ok       bool
 }
 
-func (m *Membership) fetchFrom(ctx context.Context, list []netip.AddrPort, after int64) (Snapshot, string, bool) {
+func (m *Membership) fetchFrom(ctx context.Context, list []netip.AddrPort, after Version) (Snapshot, string, bool) {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
 	replies := make(chan snapshotReply, len(list))
 	for _, to := range list {
 		go func() {
 			out := LaterReply{}
-			err := m.Caller.Call(ctx, to, "feed.Later", &LaterRequest{After: after}, &out)
-			replies <- snapshotReply{snapshot: Snapshot{Revision: out.Revision, Items: out.Items}, from: to, ok: err == nil && out.Revision > after}
+			err := m.Caller.Call(ctx, to, "feed.Later", &LaterRequest{After: after.Revision, Era: after.Era}, &out)
+			snapshot := Snapshot{Version: Version{Era: out.Era, Revision: out.Revision}, Items: out.Items}
+			replies <- snapshotReply{snapshot: snapshot, from: to, ok: err == nil && snapshot.After(after)}
 		}()
 	}
 	for range list {
@@ -151,12 +183,16 @@
 	return Snapshot{}, "", false
 }
 
-// LaterRequest asks for a copy newer than a revision.
-type LaterRequest struct{ After int64 }
+// LaterRequest asks for a copy newer than a revision of an era.
+type LaterRequest struct {
+	After int64
+	Era   int64
+}
 
 // LaterReply is a complete copy, or has revision 0 if there is no newer one.
 type LaterReply struct {
 	Revision int64
+	Era      int64
 	Items    []Item
 }
 
@@ -165,8 +201,8 @@
 
 // Later returns the copy if it is newer than that of the calling instance.
 func (s *SnapshotService) Later(in *LaterRequest, out *LaterReply) error {
-	if snapshot, ok := s.Replicator.SnapshotAfter(in.After); ok {
-		out.Revision, out.Items = snapshot.Revision, snapshot.Items
+	if snapshot, ok := s.Replicator.SnapshotAfter(Version{Era: in.Era, Revision: in.After}); ok {
+		out.Revision, out.Era, out.Items = snapshot.Revision, snapshot.Era, snapshot.Items
 	}
 	return nil
 }
--- a/internal/feed/replicator.go
+++ b/internal/feed/replicator.go
@@ -48,22 +48,28 @@
 	// OutageEndedAt is when the store responded again after an outage, or the zero time if that was
 	// not recent.
 	OutageEndedAt time.Time
-	Revision      int64
+	// Restored reports whether the store was restored from a copy since the last update, and ended an
+	// outage by that.
+	Restored bool
+	Revision int64
+	Era      int64
 	// Source is "store", or the instance that sent the update.
 	Source string
 }
 
-// Snapshot is a complete copy at a revision.
+func (u *Update) version() Version { return Version{Era: u.Era, Revision: u.Revision} }
+
+// Snapshot is a complete copy at a version.
 type Snapshot struct {
-	Revision int64
-	Items    []Item
+	Version
+	Items []Item
 }
 
 // PeerClient requests copies from other instances.
 type PeerClient interface {
-	// FetchSnapshotAfter returns a copy newer than a revision, with the name of the instance that
+	// FetchSnapshotAfter returns a copy newer than a version, with the name of the instance that
 	// sent it; ok is false if none was found.
-	FetchSnapshotAfter(ctx context.Context, after int64) (s Snapshot, from string, ok bool)
+	FetchSnapshotAfter(ctx context.Context, after Version) (s Snapshot, from string, ok bool)
 }
 
 // Replicator keeps a copy of some prefixes of the store; set its exported fields before Run.
@@ -88,8 +94,11 @@
 
 	mu    sync.Mutex
 	items map[string]Item
-	// revision is the revision of the copy; 0 means that there is none.
-	revision int64
+	// version is the version of the copy; revision 0 means that there is none.
+	version Version
+	// observedEra is the latest era that any response or message has stated.
+	observedEra int64
+	eraRaised   chan struct{}
 	// lastResponseAt is when the store last responded. outageEndedAt is when it last recovered, and
 	// outageBeganAt when the first call failed in that outage.
 	lastResponseAt time.Time
@@ -119,30 +128,34 @@
 	r.initOnce.Do(func() {
 		r.items, r.readerExpiry = map[string]Item{}, map[string]time.Time{}
 		r.messages = make(chan receivedMessage, messageQueueSize)
+		r.eraRaised = make(chan struct{}, 1)
 	})
 }
 
-// SnapshotAfter returns the copy if it is newer than a revision.
-func (r *Replicator) SnapshotAfter(after int64) (Snapshot, bool) {
+// SnapshotAfter returns the copy if it is newer than a version.
+func (r *Replicator) SnapshotAfter(after Version) (Snapshot, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.revision <= after {
+	if !r.version.After(after) {
 		return Snapshot{}, false
 	}
-	snapshot := Snapshot{Revision: r.revision, Items: make([]Item, 0, len(r.items))}
+	snapshot := Snapshot{Version: r.version, Items: make([]Item, 0, len(r.items))}
 	for _, it := range r.items {
 		snapshot.Items = append(snapshot.Items, it)
 	}
 	return snapshot, true
 }
 
-// Revision returns the revision of the copy.
-func (r *Replicator) Revision() int64 {
+// Version returns the version of the copy.
+func (r *Replicator) Version() Version {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.revision
+	return r.version
 }
 
+// Revision returns the revision of the copy.
+func (r *Replicator) Revision() int64 { return r.Version().Revision }
+
 // Run replicates the store until ctx ends.
 func (r *Replicator) Run(ctx context.Context) error {
 	r.Init()
@@ -166,6 +179,10 @@
 // syncOnce does one full read, one watch or one wait for a message. It reports whether the copy may
 // have changed through a store call.
 func (r *Replicator) syncOnce(ctx context.Context) (bool, error) {
+	if r.isBehindEra() {
+		r.awaitRestoredCopy(ctx)
+		r.needsFullRead = r.needsFullRead || r.isBehindEra()
+	}
 	if r.needsFullRead {
 		return true, r.readAll(ctx)
 	}
@@ -175,7 +192,7 @@
 		if !behind && r.reliesOnReaders(startedAt) {
 			behind = r.waitForMessage(ctx)
 		}
-		if !behind && r.reliesOnReaders(time.Now()) {
+		if !behind && r.reliesOnReaders(time.Now()) || r.isBehindEra() {
 			return false, nil
 		}
 	}
@@ -196,9 +213,14 @@
 		return false, err
 	}
 	now := time.Now()
-	fromRevision := r.Revision()
-	update := r.beginUpdate(now, changes.Revision)
-	r.broadcastChanges(now, fromRevision, changes, r.applyChanges(&update, changes))
+	from := r.Version()
+	if changes.Era != from.Era {
+		// The revisions of another era say nothing about this copy.
+		r.ObserveEra(changes.Era)
+		return false, &EraError{Expected: from.Era, Received: changes.Era}
+	}
+	update := r.beginUpdate(now, changes.version())
+	r.broadcastChanges(now, from, changes, r.applyChanges(&update, changes))
 	if len(update.Changed)+len(update.Removed) > 0 || update.OutageEndedAt.Equal(now) {
 		r.Apply(now, update)
 	}
@@ -216,10 +238,11 @@
 	replaced := map[string]Item{}
 	changedKeys := map[string]bool{}
 	for _, ev := range changes.Events {
-		if !r.isReplicated(ev.Key) || ev.Revision <= r.revision || r.items[ev.Key].Revision >= ev.Revision {
+		old, ok := r.items[ev.Key]
+		if !r.isReplicated(ev.Key) || !ev.version().After(r.version) || ok && !ev.version().After(old.version()) {
 			continue
 		}
-		if old, ok := r.items[ev.Key]; ok {
+		if ok {
 			if _, saved := replaced[ev.Key]; !saved {
 				replaced[ev.Key] = old
 			}
@@ -238,7 +261,9 @@
 			update.Removed = append(update.Removed, key)
 		}
 	}
-	r.revision = max(r.revision, changes.Revision)
+	if changes.version().After(r.version) {
+		r.version = changes.version()
+	}
 	return replaced
 }
 
@@ -256,34 +281,46 @@
 // Pages are not read at one revision, so the watch continues from the revision of the first one.
 func (r *Replicator) readAll(ctx context.Context) error {
 	items := map[string]Item{}
-	revision := int64(0)
+	first := Version{}
 	for _, prefix := range r.Prefixes {
-		firstRevision, err := r.readPrefix(ctx, prefix, items)
+		version, err := r.readPrefix(ctx, prefix, items)
 		if err != nil {
 			return err
 		}
-		if revision == 0 || firstRevision < revision {
-			revision = firstRevision
+		if first.Revision != 0 && version.Era != first.Era {
+			return &EraError{Expected: first.Era, Received: version.Era}
+		}
+		if first.Revision == 0 || version.Revision < first.Revision {
+			first = version
 		}
 	}
 	now := time.Now()
-	update := r.beginUpdate(now, revision)
-	update.Full = true
-	r.replaceItems(&update, items)
+	from := r.Version()
+	if first.Era < from.Era {
+		return &EraError{Expected: from.Era, Received: first.Era}
+	}
+	r.ObserveEra(first.Era)
+	restored := r.recordRestore(now, from, first)
+	update := r.beginUpdate(now, first)
+	update.Full, update.Restored = true, restored
+	r.broadcastRestore(now, from, first, r.replaceItems(&update, items))
 	r.needsFullRead = false
 	r.Apply(now, update)
 	return nil
 }
 
-func (r *Replicator) readPrefix(ctx context.Context, prefix string, items map[string]Item) (firstRevision int64, err error) {
+func (r *Replicator) readPrefix(ctx context.Context, prefix string, items map[string]Item) (first Version, err error) {
 	after := ""
 	for range maxPages {
 		page, err := r.readPage(ctx, prefix, after)
 		if err != nil {
-			return 0, err
+			return Version{}, err
+		}
+		if first.Revision == 0 {
+			first = Version{Era: page.Era, Revision: page.Revision}
 		}
-		if firstRevision == 0 {
-			firstRevision = page.Revision
+		if page.Era != first.Era {
+			return Version{}, &EraError{Expected: first.Era, Received: page.Era}
 		}
 		for _, it := range page.Items {
 			items[it.Key] = it
@@ -293,7 +330,7 @@
 			break
 		}
 	}
-	return firstRevision, nil
+	return first, nil
 }
 
 func (r *Replicator) readPage(ctx context.Context, prefix, after string) (Page, error) {
@@ -305,26 +342,30 @@
 	return page, err
 }
 
-// replaceItems makes items the copy. It keeps items that are newer in the present copy: a copy from
-// a peer may be newer than what was read.
-func (r *Replicator) replaceItems(update *Update, items map[string]Item) {
+// replaceItems makes items the copy and returns the former items. It keeps items that are newer in
+// the present copy: a copy from a peer may be newer than what was read.
+func (r *Replicator) replaceItems(update *Update, items map[string]Item) (former map[string]Item) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for key, old := range r.items {
-		if it, ok := items[key]; ok && old.Revision > it.Revision {
+		if it, ok := items[key]; ok && old.version().After(it.version()) {
 			items[key] = old
 		}
 	}
-	r.items, r.revision = items, max(r.revision, update.Revision)
+	former, r.items = r.items, items
+	if update.version().After(r.version) {
+		r.version = update.version()
+	}
 	for it := range maps.Values(items) {
 		update.Changed = append(update.Changed, it)
 	}
+	return former
 }
 
 // beginUpdate records a response of the store and returns an update for it.
-func (r *Replicator) beginUpdate(now time.Time, revision int64) Update {
+func (r *Replicator) beginUpdate(now time.Time, version Version) Update {
 	r.recordResponse(now)
-	return Update{Revision: revision, Source: "store", OutageEndedAt: r.recentOutageEnd(now)}
+	return Update{Revision: version.Revision, Era: version.Era, Source: "store", OutageEndedAt: r.recentOutageEnd(now)}
 }
 
 // recentOutageEnd returns when the store recovered, or the zero time if that was not recent.
@@ -378,8 +419,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
 	defer cancel()
-	snapshot, source, ok := r.Peers.FetchSnapshotAfter(ctx, r.Revision())
-	if !ok {
+	from := r.Version()
+	snapshot, source, ok := r.Peers.FetchSnapshotAfter(ctx, from)
+	if !ok || !snapshot.After(from) {
 		return
 	}
 	items := make(map[string]Item, len(snapshot.Items))
@@ -387,7 +429,9 @@
 		items[it.Key] = it
 	}
 	now := time.Now()
-	update := Update{Full: true, Revision: snapshot.Revision, Source: source}
+	r.ObserveEra(snapshot.Era)
+	restored := r.recordRestore(now, from, snapshot.Version)
+	update := Update{Full: true, Restored: restored, Revision: snapshot.Revision, Era: snapshot.Era, Source: source, OutageEndedAt: r.recentOutageEnd(now)}
 	r.replaceItems(&update, items)
 	r.Log.Write(now, timeline.Event{Kind: "copy_from_member", Member: source, Revision: snapshot.Revision})
 	r.needsFullRead = false
--- a/internal/feed/replicator_test.go
+++ b/internal/feed/replicator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -18,11 +19,13 @@
 	items    map[string]Item
 	events   []Event
 	revision int64
+	era      int64
 	// compactedTo is the revision up to which the history has been dropped.
 	compactedTo  int64
 	down         bool
 	unresponsive bool
 	watches      int
+	ranges       int
 }
 
 func newStoreStub() *storeStub { return &storeStub{items: map[string]Item{}} }
@@ -33,7 +36,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	it := Item{Key: key, Value: []byte(value), Revision: s.revision}
+	it := Item{Key: key, Value: []byte(value), Revision: s.revision, Era: s.era}
 	s.items[key] = it
 	s.events = append(s.events, Event{Item: it})
 }
@@ -43,7 +46,32 @@
 	defer s.mu.Unlock()
 	s.revision++
 	delete(s.items, key)
-	s.events = append(s.events, Event{Item: Item{Key: key, Revision: s.revision}, Removed: true})
+	s.events = append(s.events, Event{Item: Item{Key: key, Revision: s.revision, Era: s.era}, Removed: true})
+}
+
+// storeCopy is a copy that a store can be restored from.
+type storeCopy struct {
+	items    map[string]Item
+	revision int64
+}
+
+func (s *storeStub) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{items: maps.Clone(s.items), revision: s.revision}
+}
+
+// restore replaces the content with a copy, which begins the next era.
+func (s *storeStub) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items, s.revision, s.events = maps.Clone(c.items), c.revision, nil
+	s.compactedTo = c.revision
+	s.era++
+	for key, it := range s.items {
+		it.Era = s.era
+		s.items[key] = it
+	}
 }
 
 func (s *storeStub) update(f func(s *storeStub)) {
@@ -55,10 +83,11 @@
 func (s *storeStub) Range(_ context.Context, prefix, after string) (Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.ranges++
 	if s.down {
 		return Page{}, errDown
 	}
-	p := Page{Revision: s.revision}
+	p := Page{Revision: s.revision, Era: s.era}
 	for k, it := range s.items {
 		if len(k) >= len(prefix) && k[:len(prefix)] == prefix && k > after {
 			p.Items = append(p.Items, it)
@@ -88,10 +117,10 @@
 	switch {
 	case s.down:
 		return Changes{}, true, errDown
-	case after < s.compactedTo:
+	case after < s.compactedTo || after > s.revision:
 		return Changes{}, true, &CompactedError{After: after}
 	}
-	c := Changes{Revision: s.revision}
+	c := Changes{Revision: s.revision, Era: s.era}
 	for _, ev := range s.events {
 		if ev.Revision > after {
 			c.Events = append(c.Events, ev)
@@ -252,10 +281,10 @@
 	snapshot Snapshot
 }
 
-func (p *peerClientStub) FetchSnapshotAfter(_ context.Context, after int64) (Snapshot, string, bool) {
+func (p *peerClientStub) FetchSnapshotAfter(_ context.Context, after Version) (Snapshot, string, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.snapshot, "other", p.snapshot.Revision > after
+	return p.snapshot, "other", p.snapshot.After(after)
 }
 
 // Guards against an instance that has no table, or a stale one, while it alone cannot reach the
@@ -263,12 +292,12 @@
 func TestFetchesFromPeersWhileStoreIsUnavailable(t *testing.T) {
 	store := newStoreStub()
 	store.update(func(store *storeStub) { store.down = true })
-	peers := &peerClientStub{snapshot: Snapshot{Revision: 7, Items: []Item{{Key: "operators/table", Value: []byte("7"), Revision: 7}}}}
+	peers := &peerClientStub{snapshot: Snapshot{Version: Version{Revision: 7}, Items: []Item{{Key: "operators/table", Value: []byte("7"), Revision: 7}}}}
 	r := &Replicator{Store: store, Peers: peers}
 	recorder := startReplicator(t, r)
 	requireEventually(t, recorder, "operators/table", "7", time.Second)
 	peers.mu.Lock()
-	peers.snapshot = Snapshot{Revision: 6, Items: []Item{{Key: "operators/table", Value: []byte("6"), Revision: 6}}}
+	peers.snapshot = Snapshot{Version: Version{Revision: 6}, Items: []Item{{Key: "operators/table", Value: []byte("6"), Revision: 6}}}
 	peers.mu.Unlock()
 	time.Sleep(time.Second)
 	require.Equal(t, "7", recorder.get("operators/table"))
--- a/internal/relay/config_applier.go
+++ b/internal/relay/config_applier.go
@@ -33,6 +33,9 @@
 func (c *ConfigApplier) Apply(now time.Time, update feed.Update) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if update.Restored {
+		c.targetEntries.SourceRestored(update.OutageEndedAt)
+	}
 	if !update.OutageEndedAt.IsZero() {
 		c.targetEntries.SourceRecovered(update.OutageEndedAt)
 	}
@@ -82,7 +85,7 @@
 		c.targetEntries.Discard(id)
 		return
 	}
-	if c.targetEntries.Put(t) {
+	if c.targetEntries.Put(now, t) {
 		decision := "open"
 		if t.Leaving {
 			decision = "leaving"
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -74,12 +74,12 @@
 // outage.
 func TestTargetSetAfterOutage(t *testing.T) {
 	set := TargetSet{}
-	set.Put(testTarget("a", "10.0.0.1:1", 0))
-	set.Put(testTarget("b", "10.0.0.2:1", 0))
+	set.Put(t0, testTarget("a", "10.0.0.1:1", 0))
+	set.Put(t0, testTarget("b", "10.0.0.2:1", 0))
 	set.Remove(t0, "a")
 	require.Equal(t, 1, set.Len(), "without an outage, a removed entry must be dropped immediately")
 
-	set.Put(testTarget("c", "10.0.0.3:1", 0))
+	set.Put(t0, testTarget("c", "10.0.0.3:1", 0))
 	set.SourceRecovered(t0.Add(time.Second))
 	require.True(t, set.Remove(t0.Add(1005*time.Millisecond), "b"))
 	require.True(t, set.Remove(t0.Add(1100*time.Millisecond), "c"))
@@ -89,17 +89,17 @@
 	require.Equal(t, 1, set.Len(), "a removal after the recovery may be intentional")
 	set.RemoveExpired(t0.Add(time.Second + OutageRemovalGrace))
 	require.Zero(t, set.Len())
-	set.Put(testTarget("d", "10.0.0.4:1", 0))
+	set.Put(t0, testTarget("d", "10.0.0.4:1", 0))
 	require.False(t, set.Remove(t0.Add(time.Second+OutageRemovalGrace), "d"))
 }
 
 // Guards against losing a target whose entry is written again in time.
 func TestTargetSetKeepsReturningEntries(t *testing.T) {
 	r := TargetSet{}
-	r.Put(testTarget("a", "10.0.0.1:1", 0))
+	r.Put(t0, testTarget("a", "10.0.0.1:1", 0))
 	r.SourceRecovered(t0)
 	r.RemoveUnlisted(t0, func(string) bool { return false })
-	require.False(t, r.Put(testTarget("a", "10.0.0.1:1", 0)))
+	require.False(t, r.Put(t0, testTarget("a", "10.0.0.1:1", 0)))
 	require.True(t, r.RemoveExpired(t0.Add(time.Minute)).IsZero())
 	require.Equal(t, 1, r.Len())
 }
@@ -107,7 +107,85 @@
 // Guards against requests to the former incarnation at an address that is reused.
 func TestTargetSetReturnsTheLaterIncarnation(t *testing.T) {
 	r := TargetSet{}
-	r.Put(testTarget("z-old", "10.0.0.1:1", 0))
-	r.Put(testTarget("a-new", "10.0.0.1:1", time.Second))
+	r.Put(t0, testTarget("z-old", "10.0.0.1:1", 0))
+	r.Put(t0, testTarget("a-new", "10.0.0.1:1", time.Second))
 	require.Equal(t, map[string][]Target{"p": {testTarget("a-new", "10.0.0.1:1", time.Second)}}, r.Targets())
 }
+
+// Guards against new requests to a target that is leaving, because a restored source lists an earlier
+// state of it.
+func TestLeavingTargetStaysLeavingAfterRestore(t *testing.T) {
+	leaving := testTarget("a", "10.0.0.1:1", 0)
+	leaving.Leaving = true
+	for name, c := range map[string]struct {
+		before func(s *TargetSet)
+		entry  Target
+		want   bool
+	}{
+		"listed as leaving before": {func(s *TargetSet) { s.Put(t0, leaving) }, testTarget("a", "10.0.0.1:1", 0), true},
+		"left and was removed":     {func(s *TargetSet) { s.Put(t0, leaving); s.Remove(t0, "a") }, testTarget("a", "10.0.0.1:1", 0), true},
+		"next incarnation":         {func(s *TargetSet) { s.Put(t0, leaving) }, testTarget("a", "10.0.0.1:1", time.Second), false},
+		"removed, next incarnation": {
+			func(s *TargetSet) { s.Put(t0, leaving); s.Remove(t0, "a") },
+			testTarget("a", "10.0.0.1:1", time.Second), false,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &TargetSet{}
+			c.before(s)
+			s.SourceRestored(t0.Add(time.Second))
+			s.Put(t0.Add(time.Second), c.entry)
+			for _, at := range []time.Duration{time.Second, time.Minute} {
+				s.RemoveExpired(t0.Add(at))
+				require.Equal(t, c.want, s.Targets()["p"][0].Leaving, at)
+			}
+		})
+	}
+}
+
+// Guards against requests to a target that ended without notice and that only a restored source still
+// lists, and against never using one again that is there.
+func TestRemovedTargetIsDoubtfulAfterRestore(t *testing.T) {
+	s := &TargetSet{}
+	a := testTarget("a", "10.0.0.1:1", 0)
+	s.Put(t0, a)
+	s.Remove(t0.Add(time.Second), "a")
+	restored := t0.Add(2 * time.Second)
+	s.SourceRestored(restored)
+	s.Put(restored, a)
+	next := s.RemoveExpired(restored)
+	require.Equal(t, restored.Add(restoredEntryGrace), next)
+	require.True(t, s.Targets()["p"][0].Leaving)
+	s.Put(restored.Add(time.Second), a)
+	require.True(t, s.Targets()["p"][0].Leaving, "the same entry, read again, says nothing new")
+	changed := a
+	changed.Slots = 9
+	s.Put(restored.Add(time.Second), changed)
+	require.False(t, s.Targets()["p"][0].Leaving, "the target has written its entry again")
+
+	s.Remove(restored.Add(20*time.Second), "a")
+	again := restored.Add(21 * time.Second)
+	s.SourceRestored(again)
+	s.Put(again, a)
+	require.True(t, s.RemoveExpired(again.Add(restoredEntryGrace)).IsZero())
+	require.False(t, s.Targets()["p"][0].Leaving, "the entry of a target that is gone would have expired")
+}
+
+// Guards against an entry of a former incarnation that replaces the present one's.
+func TestEntryOfFormerIncarnationIsIgnored(t *testing.T) {
+	s := &TargetSet{}
+	s.Put(t0, testTarget("a", "10.0.0.1:1", time.Second))
+	require.False(t, s.Put(t0, testTarget("a", "10.0.0.2:1", 0)))
+	require.Equal(t, "10.0.0.1:1", s.Targets()["p"][0].Address.String())
+}
+
+// Guards against dropping the targets that a restored source lacks before they can be written again.
+func TestTargetsMissingAfterRestoreAreKept(t *testing.T) {
+	s := &TargetSet{}
+	s.Put(t0, testTarget("a", "10.0.0.1:1", 0))
+	s.SourceRestored(t0.Add(time.Second))
+	s.RemoveUnlisted(t0.Add(time.Second), func(string) bool { return false })
+	require.Equal(t, 1, s.Len())
+	s.RemoveExpired(t0.Add(time.Second + OutageRemovalGrace))
+	require.Zero(t, s.Len())
+}
