Heed what engines say about new requests

Cause: an engine that leaves was known by its entry only; one that asks for no requests by Retry-After was asked again by the next request.

Change: a response with Server-Leaving closes the engine to new attempts, retries, hedges, resumes, copies and probes until its incarnation ends, also while its entry says ready; others learn it with the next progress message. A 503 with Retry-After closes it to this instance for that time, 5 minutes at most; other instances prefer other engines meanwhile. If no engine of a pool wants requests, callers are refused at once with the first time at which one does.

--- a/internal/gossip/progress.go
+++ b/internal/gossip/progress.go
@@ -33,6 +33,11 @@
 	ReplacedTargets []string `json:"gone,omitempty"`
 	// Successors maps a lost target to the incarnation that this instance has found at its address.
 	Successors map[string]string `json:"successors,omitempty"`
+	// LeavingTargets holds the start times, in Unix milliseconds, of targets that have recently told this
+	// instance that they are leaving.
+	LeavingTargets map[string]int64 `json:"leaving,omitempty"`
+	// BackoffMillis holds how long targets want no further requests from this instance.
+	BackoffMillis map[string]int64 `json:"backoff_ms,omitempty"`
 }
 
 type progressMessage struct {
@@ -69,7 +74,7 @@
 			return ctx.Err()
 		}
 		m := progressMessage{Instance: x.Instance, Progress: x.LocalProgress(time.Now())}
-		empty = len(m.InProgress)+len(m.AttemptCounts)+len(m.Successors) == 0
+		empty = len(m.InProgress)+len(m.AttemptCounts)+len(m.Successors)+len(m.LeavingTargets)+len(m.BackoffMillis) == 0
 		if err := x.broadcast(&m); err != nil {
 			return err
 		}
@@ -83,18 +88,24 @@
 	}
 }
 
-// broadcast sends a message; if it is too long, it omits the silent and replaced targets and the
-// successors.
+// broadcast sends a message; if it is too long, it first omits the backoffs, the silent and replaced targets
+// and the successors, and then the requests in progress: leaving targets must reach the others.
 func (x *ProgressExchange) broadcast(m *progressMessage) error {
 	for {
 		data, err := json.Marshal(m)
 		if err != nil {
 			return errors.Wrap(err, "progress message")
 		}
-		if x.Socket.Broadcast(KindProgress, data) || len(m.SilentTargets)+len(m.ReplacedTargets)+len(m.Successors) == 0 {
+		switch {
+		case x.Socket.Broadcast(KindProgress, data):
+			return nil
+		case len(m.SilentTargets)+len(m.ReplacedTargets)+len(m.Successors)+len(m.BackoffMillis) > 0:
+			m.SilentTargets, m.ReplacedTargets, m.Successors, m.BackoffMillis = nil, nil, nil, nil
+		case len(m.LeavingTargets) > 0 && len(m.InProgress) > 0:
+			m.InProgress = nil
+		default:
 			return nil
 		}
-		m.SilentTargets, m.ReplacedTargets, m.Successors = nil, nil, nil
 	}
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -76,6 +76,7 @@
 		if a.info.RequestID == "" || a.info.RequestID == a.req.ID {
 			a.res = res
 			a.req.pool.recordLoad(a.target, a.info.Load)
+			a.recordStatements(time.Now())
 			return nil
 		}
 		// This is a late response to an earlier request; the response to this one follows it.
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -70,7 +70,11 @@
 	c := &callHandler{relay: r, req: req, w: w, results: make(chan *attemptResult, maxRefusals+max(req.route.MaxAttempts, 1)+1)}
 	req.pool.recordRequest(time.Now())
 	if !c.startAttempt(sendCtx, "first") {
-		r.refuse(w, req, notRunRefusal(codeNoTarget, jitter(unavailableRetryAfter)))
+		refusal := req.backoffRefusal(time.Now())
+		if refusal == nil {
+			refusal = notRunRefusal(codeNoTarget, jitter(unavailableRetryAfter))
+		}
+		r.refuse(w, req, refusal)
 		return
 	}
 	c.awaitResult(ctx, sendCtx)
@@ -162,7 +166,11 @@
 func (c *callHandler) respondWithFailure() {
 	switch result := c.lastFailure; {
 	case result == nil:
-		c.relay.refuse(c.w, c.req, notRunRefusal(codeTargetsRefuse, jitter(allRefusedRetryAfter)))
+		refusal := c.req.backoffRefusal(time.Now())
+		if refusal == nil {
+			refusal = notRunRefusal(codeTargetsRefuse, jitter(allRefusedRetryAfter))
+		}
+		c.relay.refuse(c.w, c.req, refusal)
 	case result.err == nil:
 		c.relay.deliverResponse(c.w, c.req, result)
 	case result.attempt.pastDeadline(time.Now()):
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -69,6 +69,15 @@
 	Load *engine.Load
 	// KeepAlive is how long the target keeps an idle connection, or 0 if it does not say.
 	KeepAlive time.Duration
+	// Leaving reports whether the target states that it is leaving.
+	Leaving bool
+	// Backoff is how long a target that refused wants no further requests from this instance, or 0 if it
+	// does not say.
+	Backoff time.Duration
+	// Unreadable names the first header whose value can't be read, or is empty.
+	Unreadable string
+	// UnreadableValue is the value of that header.
+	UnreadableValue string
 }
 
 // HeaderCodec translates between a platform's headers and the types above.
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -55,7 +55,9 @@
 }
 
 func (testCodec) ParseResponse(_ time.Time, res *http.Response) ResponseInfo {
+	backoff, _ := time.ParseDuration(res.Header.Get("Back-Off"))
 	return ResponseInfo{
+		Leaving: res.Header.Get("Leaving") != "", Backoff: backoff,
 		RequestID: res.Header.Get("Id"), Sealed: res.Header.Get("Seal") != "", NotRun: res.Header.Get("Not-Run") != "",
 		ContentEncoded: res.Header.Get("Content-Encoding") != "", Incarnation: res.Header.Get("Target"),
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -40,6 +40,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("bambooferry_refusals_total{code=%q}", refusal.Code)).Inc()
 }
 
+// recordStatement counts what targets state about new requests: "leaving" or "backoff".
+func (m *instruments) recordStatement(statement string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("bambooferry_target_statements_total{statement=%q}", statement)).Inc()
+}
+
 func (m *instruments) recordAttempt(req *callerRequest, reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("bambooferry_attempts_total{kind=%q,end=%q}", req.route.Kind, reason)).Inc()
 }
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -23,6 +23,8 @@
 	codeTargetLost    = "target_lost"
 	codeBadAnswer     = "bad_answer"
 	codeCrashes       = "crashes_targets"
+	// codeTargetsBackOff says that all targets have asked this instance to send nothing for a time.
+	codeTargetsBackOff = "targets_back_off"
 )
 
 // reasonCallerGone is the reason for a request whose caller has disconnected, or whose instance was
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 
 	"bambooferry.example/bambooferry/pkg/blackboard"
 	"bambooferry.example/bambooferry/pkg/route"
@@ -65,12 +66,15 @@
 	probesMu     sync.Mutex
 	probes       sync.WaitGroup
 	probeContext context.Context
+	// unreadableHeaders limits the log lines on headers of targets that can't be read.
+	unreadableHeaders rate.Sometimes
 }
 
 func (r *Relay) init() {
 	r.initOnce.Do(func() {
 		r.instruments.register(r.Metrics)
 		r.targetConns.ObserveDial = r.instruments.recordDial
+		r.unreadableHeaders.Interval = unreadableLogInterval
 	})
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -65,6 +65,8 @@
 	// firstEventDelay and longestPause are as the caller saw them.
 	firstEventDelay time.Duration
 	longestPause    time.Duration
+	// backoffRefusal is the refusal of a stream that no target wants now, or nil.
+	backoffRefusal *Refusal
 	// failureResponse is the target's own failure, which is passed on if no other target is tried.
 	failureResponse *attemptResult
 }
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -23,6 +23,12 @@
 	}
 	t, load, ok := st.chooseTarget(now, action)
 	if !ok {
+		if st.acceptedCount == 0 {
+			if st.backoffRefusal = st.req.backoffRefusal(now); st.backoffRefusal != nil {
+				st.aborted = true
+				return
+			}
+		}
 		st.handleEvent(generation.Event{Kind: generation.NoTarget, Attempt: action.Attempt})
 		return
 	}
@@ -60,7 +66,7 @@
 func (st *streamHandler) chooseTarget(now time.Time, action *generation.Action) (route.Target, float64, bool) {
 	criteria := targetCriteria{avoidTargets: action.Avoid}
 	if st.backupEngine.IsValid() && st.gen.Position > 0 {
-		if t, ok := st.req.pool.targetAt(st.backupEngine); ok {
+		if t, ok := st.req.pool.targetAt(now, st.backupEngine); ok {
 			criteria.preferredTarget = t.ID
 		}
 	}
--- a/internal/relay/stream_end.go
+++ b/internal/relay/stream_end.go
@@ -45,6 +45,8 @@
 // refusal returns the response to a stream of which nothing was sent.
 func (st *streamHandler) refusal() *Refusal {
 	switch {
+	case st.backoffRefusal != nil:
+		return st.backoffRefusal
 	case st.acceptedCount == 0 && st.refusals > 0:
 		return notRunRefusal(codeTargetsRefuse, jitter(allRefusedRetryAfter))
 	case st.acceptedCount == 0:
--- a/internal/relay/successor.go
+++ b/internal/relay/successor.go
@@ -91,7 +91,7 @@
 func (p *pool) beginSuccessorSearch(now time.Time, t route.Target, lastHeardAt time.Time) (deadline time.Time, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.healthPath == "" || t.Leaving || p.searchingSuccessor[t.ID] || p.findTarget(t.ID).ID == "" || !p.successors.ProvesSamePool(now, lastHeardAt) {
+	if p.healthPath == "" || t.Leaving || p.availability.IsLeaving(t) || !p.availability.BackoffEnd(now, t.ID).IsZero() || p.searchingSuccessor[t.ID] || p.findTarget(t.ID).ID == "" || !p.successors.ProvesSamePool(now, lastHeardAt) {
 		return time.Time{}, false
 	}
 	p.searchingSuccessor[t.ID] = true
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -63,7 +63,9 @@
 	instanceCount      func() int
 	losses             lossTracker
 	// replaced holds targets at whose address another incarnation has responded.
-	replaced        map[string]route.Target
+	replaced map[string]route.Target
+	// availability holds what targets have said about new requests.
+	availability    route.Availability
 	progressChanged chan struct{}
 }
 
@@ -102,8 +104,10 @@
 	attemptCounts := map[string]booking.SendCounts{}
 	var silent, replaced []string
 	successors := map[string]string{}
+	leaving, backoffs := map[string]int64{}, map[string]int64{}
 	for name, p := range r.allPools() {
 		p.mu.Lock()
+		p.addStatements(now, leaving, backoffs)
 		if counts := p.retryBudget.LocalCounts(now); counts != (booking.SendCounts{}) {
 			attemptCounts[name] = counts
 		}
@@ -115,7 +119,7 @@
 		maps.Copy(successors, p.successors.ProvenLocally())
 		p.mu.Unlock()
 	}
-	return gossip.Progress{InProgress: inProgress, AttemptCounts: attemptCounts, SilentTargets: silent, ReplacedTargets: replaced, Successors: successors}
+	return gossip.Progress{InProgress: inProgress, AttemptCounts: attemptCounts, SilentTargets: silent, ReplacedTargets: replaced, Successors: successors, LeavingTargets: leaving, BackoffMillis: backoffs}
 }
 
 // ApplyRemoteProgress applies what another instance reports about its targets.
@@ -135,6 +139,7 @@
 				p.addSuccessor(now, t, id, false)
 			}
 		}
+		p.applyStatements(now, progress)
 		p.mu.Unlock()
 	}
 }
@@ -173,6 +178,7 @@
 		names = append(names, t.ID)
 	}
 	p.enginePool.RetainTargets(names)
+	p.availability.Retain(now, p.targets)
 	for id, t := range p.replaced {
 		if p.findTarget(id) != t {
 			delete(p.replaced, id)
@@ -218,12 +224,15 @@
 			return t.ID == criteria.preferredTarget && !slices.Contains(criteria.avoidTargets, t.ID)
 		},
 		func(t *route.Target) bool {
-			return !slices.Contains(avoidDataCentres, t.DataCentre) && !slices.Contains(criteria.avoidTargets, t.ID)
+			return !slices.Contains(avoidDataCentres, t.DataCentre) && !slices.Contains(criteria.avoidTargets, t.ID) && !p.availability.BacksOffElsewhere(now, t.ID)
+		},
+		func(t *route.Target) bool {
+			return !slices.Contains(criteria.avoidTargets, t.ID) && !p.availability.BacksOffElsewhere(now, t.ID)
 		},
 		func(t *route.Target) bool { return !slices.Contains(criteria.avoidTargets, t.ID) },
 		func(*route.Target) bool { return len(criteria.avoidTargets) > 0 },
 	} {
-		if c, ok := p.enginePool.ChooseCandidate(now, p.openTargets(dataCentre, passes), nil, nil); ok {
+		if c, ok := p.enginePool.ChooseCandidate(now, p.openTargets(now, dataCentre, passes), nil, nil); ok {
 			return p.findTarget(c.Name), c.Load, true
 		}
 	}
@@ -231,11 +240,11 @@
 }
 
 // openTargets returns the targets that accept new requests and pass a filter.
-func (p *pool) openTargets(dataCentre string, passes func(t *route.Target) bool) []engine.AvailableTarget {
+func (p *pool) openTargets(now time.Time, dataCentre string, passes func(t *route.Target) bool) []engine.AvailableTarget {
 	var list []engine.AvailableTarget
 	for i := range p.targets {
 		t := &p.targets[i]
-		if _, replaced := p.replaced[t.ID]; replaced || t.Leaving || !passes(t) {
+		if !p.isOpen(now, t) || !passes(t) {
 			continue
 		}
 		roundTrip := otherDataCentreRTT
@@ -256,13 +265,13 @@
 	return route.Target{}
 }
 
-// targetAt returns the target at an address.
-func (p *pool) targetAt(address netip.AddrPort) (route.Target, bool) {
+// targetAt returns the open target at an address.
+func (p *pool) targetAt(now time.Time, address netip.AddrPort) (route.Target, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, t := range p.targets {
-		if _, replaced := p.replaced[t.ID]; t.Address == address && !t.Leaving && !replaced {
-			return t, true
+	for i := range p.targets {
+		if t := &p.targets[i]; t.Address == address && p.isOpen(now, t) {
+			return *t, true
 		}
 	}
 	return route.Target{}, false
@@ -289,9 +298,12 @@
 
 // notifyProgressChanged wakes the exchange with other instances; the caller holds mu.
 func (p *pool) notifyProgressChanged() {
-	if p.model == nil {
-		return
+	if p.model != nil {
+		p.signalProgress()
 	}
+}
+
+func (p *pool) signalProgress() {
 	select {
 	case p.progressChanged <- struct{}{}:
 	default:
