Do not use a removed target as a successor

By the log, the entry was written and removed within one pause of the readers' watch (0.2 s), so that instances saw its removal only; 12 ms before, front-curepipe-2 had found the engine at its predecessor's address and reported it as a successor, which is used for 10 s without an entry.

Successors.Add returns nothing now; its callers did not use the result.

Ruled out: late news (all instances had the removal within 20 ms), the sticky leaving state.

--- a/internal/relay/config_applier.go
+++ b/internal/relay/config_applier.go
@@ -53,6 +53,7 @@
 	for _, key := range update.Removed {
 		if id, ok := strings.CutPrefix(key, c.TargetKeyPrefix); ok {
 			decision := map[bool]string{true: "kept_after_outage", false: "taken_out"}[c.targetEntries.Remove(now, id)]
+			c.Targets.RecordRemoval(now, id)
 			c.Log.Write(now, timeline.Event{Kind: "target_removed", Target: id, Revision: update.Revision, Decision: decision})
 		}
 	}
--- a/internal/relay/successor.go
+++ b/internal/relay/successor.go
@@ -143,6 +143,15 @@
 	p.targets = p.successors.MergeInto(now, p.listedTargets)
 }
 
+// RecordRemoval records that the entry of a target was removed, so that it is not used as a successor either.
+func (r *TargetRegistry) RecordRemoval(now time.Time, id string) {
+	for _, p := range r.allPools() {
+		p.mu.Lock()
+		p.successors.RecordRemoval(now, id)
+		p.mu.Unlock()
+	}
+}
+
 func (p *pool) healthCheckPath() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/route/successors.go
+++ b/pkg/route/successors.go
@@ -21,6 +21,10 @@
 	AddressReuse time.Duration
 
 	known map[string]*successor
+	// listed holds the IDs of the targets that have an entry, and departed when the entries of others were
+	// removed.
+	listed   map[string]bool
+	departed map[string]time.Time
 }
 
 type successor struct {
@@ -44,15 +48,19 @@
 	return lastHeard.Add(s.AddressReuse)
 }
 
-// Add stores a target's successor; provenLocally is set when this instance has proved it.
-func (s *Successors) Add(now time.Time, predecessor Target, id string, provenLocally bool) Target {
+// Add stores a target's successor, unless it has an entry or its entry was removed; provenLocally is set when this
+// instance has proved it.
+func (s *Successors) Add(now time.Time, predecessor Target, id string, provenLocally bool) {
+	if _, gone := s.departed[id]; gone || s.listed[id] {
+		return
+	}
 	if s.known == nil {
 		s.known = map[string]*successor{}
 	}
 	if k := s.known[id]; k != nil {
 		k.provenLocally = k.provenLocally || provenLocally
 		k.expiresAt = now.Add(successorTTL)
-		return k.Target
+		return
 	}
 	n := &successor{Target: predecessor, predecessors: []string{predecessor.ID}, expiresAt: now.Add(successorTTL), provenLocally: provenLocally}
 	if k := s.known[predecessor.ID]; k != nil {
@@ -61,7 +69,39 @@
 	}
 	n.ID, n.StartedAt, n.Leaving = id, now, false
 	s.known[id] = n
-	return n.Target
+}
+
+// RecordRemoval records that the entry of a target was removed. It may never have been listed: an entry that is
+// written and removed in quick succession is only seen as removed.
+func (s *Successors) RecordRemoval(now time.Time, id string) {
+	if s.departed == nil {
+		s.departed = map[string]time.Time{}
+	}
+	s.departed[id] = now
+	delete(s.known, id)
+}
+
+// recordListing records which targets have an entry now.
+func (s *Successors) recordListing(now time.Time, listed []Target) {
+	if s.departed == nil {
+		s.departed = map[string]time.Time{}
+	}
+	present := make(map[string]bool, len(listed))
+	for i := range listed {
+		present[listed[i].ID] = true
+		delete(s.departed, listed[i].ID)
+	}
+	for id := range s.listed {
+		if !present[id] {
+			s.departed[id] = now
+		}
+	}
+	for id, at := range s.departed {
+		if now.Sub(at) > departureTTL {
+			delete(s.departed, id)
+		}
+	}
+	s.listed = present
 }
 
 // RecordResponse extends the lifetime of a successor that sent a response.
@@ -89,6 +129,7 @@
 // MergeInto returns the listed targets with the successors that have no entry yet, and removes all
 // other successors.
 func (s *Successors) MergeInto(now time.Time, listed []Target) []Target {
+	s.recordListing(now, listed)
 	out := listed
 	for id, k := range s.known {
 		if !now.Before(k.expiresAt) || slices.ContainsFunc(listed, k.supersededBy) {
