Let a decider recover from a conflict on its record

By its log, the store and a goroutine dump: the answer to a write of record and status names the revision of the last one, and the watch had brought the record's own revision before that answer was handled; every later write then failed its condition.

Change: the record is the last write of its transaction; a conflict's present items are read (412) and applied, so that a wrong revision costs one write; rollout_conflict is logged. The stand-ins give each write its own revision and answer conflicts as the store.

Ruled out: a lock held (requests went on being observed), a ticker that had stopped (the lease was renewed), missing evidence (results were counted at all instances).

TestDeciderRecoversFromConflict fails with the former decider.

--- a/internal/feed/store.go
+++ b/internal/feed/store.go
@@ -101,7 +101,11 @@
 	Lease Lease
 }
 
-// ConflictError reports that the condition of a write was not met.
-type ConflictError struct{ Key string }
+// ConflictError reports that a condition of a write was not met.
+type ConflictError struct {
+	Key string
+	// Current holds the present items of the conditions' keys, as far as they exist.
+	Current []Item
+}
 
 func (e *ConflictError) Error() string { return "condition not met by key " + e.Key }
--- a/internal/rollout/decider.go
+++ b/internal/rollout/decider.go
@@ -129,12 +129,13 @@
 	statusKey, status := c.EncodeStatus(r.Order, r.state())
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	at, err := c.Store.Commit(ctx, conditions, []feed.Write{{Key: key, Value: r.encode()}, {Key: statusKey, Value: status}})
+	at, err := c.Store.Commit(ctx, conditions, []feed.Write{{Key: statusKey, Value: status}, {Key: key, Value: r.encode()}})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
-		// The write may have been executed; the copy of the store will show it.
+		// The write may have been executed; the copy of the store, or a conflict, will show it.
 		c.lease.retryAt = now.Add(retryInterval)
+		c.applyConflict(now, key, err)
 		return false
 	}
 	c.versions[key], p.dirty = at, false
@@ -143,6 +144,21 @@
 	return true
 }
 
+// applyConflict applies the present record that the store returns with a conflict; the caller holds mu.
+func (c *Controller) applyConflict(now time.Time, key string, err error) {
+	conflict := (*feed.ConflictError)(nil)
+	if !errors.As(err, &conflict) {
+		return
+	}
+	c.Log.Write(now, timeline.Event{Kind: "rollout_conflict", Entry: key, Inputs: []timeline.Input{{Name: "expected_revision", Value: c.versions[key].Revision}}})
+	delete(c.versions, key)
+	for i := range conflict.Current {
+		if it := &conflict.Current[i]; it.Key == key {
+			c.applyItem(now, it)
+		}
+	}
+}
+
 // stepChange takes the steps of a change; the caller holds mu.
 func (c *Controller) stepChange(now time.Time, name string, p *poolState) {
 	if p.resume {
--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -160,12 +160,20 @@
 	}
 	for _, c := range conditions {
 		if f.items[c.Key].Revision != c.Revision {
-			return feed.Version{}, &feed.ConflictError{Key: c.Key}
+			conflict := &feed.ConflictError{Key: c.Key}
+			for _, c := range conditions {
+				if it, ok := f.items[c.Key]; ok {
+					conflict.Current = append(conflict.Current, it)
+				}
+			}
+			return feed.Version{}, conflict
 		}
 	}
-	f.revision++
-	update := feed.Update{Revision: f.revision, Era: f.era}
+	update := feed.Update{Era: f.era}
 	for _, w := range writes {
+		// Each write has a revision of its own.
+		f.revision++
+		update.Revision = f.revision
 		update.Changed = append(update.Changed, f.put(w.Key, w.Value, w.Lease.ID))
 	}
 	f.notify(update)
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -253,3 +253,20 @@
 		require.LessOrEqual(t, holders(), 1)
 	}
 }
+
+// Guards against a decider that never writes again because it took a wrong revision for its record's, as after an
+// answer that was lost.
+func TestDeciderRecoversFromConflict(t *testing.T) {
+	f, _ := startChange(t, 10, nil)
+	f.run(2 * time.Second)
+	for _, m := range f.members {
+		for key, v := range m.versions {
+			if key == "own/rollouts/"+testPool {
+				v.Revision += 1000
+				m.versions[key] = v
+			}
+		}
+	}
+	f.run(f.orderedAt.Add(testInterval).Sub(f.now))
+	require.Equal(t, "succeeded v2", f.lastStatus(), "%v", f.statuses)
+}
