--- a/internal/gossip/progress.go
+++ b/internal/gossip/progress.go
@@ -33,8 +33,8 @@
 	ReplacedTargets []string `json:"gone,omitempty"`
 	// Successors maps a lost target to the incarnation that this instance has found at its address.
 	Successors map[string]string `json:"successors,omitempty"`
-	// LeavingTargets holds the start times, in Unix milliseconds, of targets that have recently told this
-	// instance that they are leaving.
+	// LeavingTargets holds the start times, in Unix milliseconds, of targets that have recently stated
+	// to this instance that they are leaving.
 	LeavingTargets map[string]int64 `json:"leaving,omitempty"`
 	// BackoffMillis holds how long targets want no further requests from this instance.
 	BackoffMillis map[string]int64 `json:"backoff_ms,omitempty"`
--- a/internal/relay/availability.go
+++ b/internal/relay/availability.go
@@ -25,7 +25,7 @@
 	return !replaced && !t.Leaving && !p.availability.IsLeaving(*t) && p.availability.BackoffEnd(now, t.ID).IsZero()
 }
 
-// addStatements adds what the pool's targets have told this instance; the caller holds mu.
+// addStatements adds what the pool's targets have stated to this instance; the caller holds mu.
 func (p *pool) addStatements(now time.Time, leaving, backoffs map[string]int64) {
 	for id, startedAt := range p.availability.AnnouncedSince(now.Add(-leavingReportWindow)) {
 		leaving[id] = startedAt.UnixMilli()
@@ -35,7 +35,7 @@
 	}
 }
 
-// applyStatements applies what targets have told another instance; the caller holds mu.
+// applyStatements applies what targets have stated to another instance; the caller holds mu.
 func (p *pool) applyStatements(now time.Time, progress gossip.Progress) {
 	for id, startedMillis := range progress.LeavingTargets {
 		// A later start than the reported one is that of the next incarnation.
@@ -50,7 +50,7 @@
 	}
 }
 
-// recordLeaving records that a target has told this instance that it is leaving, and reports whether that
+// recordLeaving records that a target has stated to this instance that it is leaving, and reports whether that
 // is new.
 func (p *pool) recordLeaving(now time.Time, id string) bool {
 	p.mu.Lock()
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"cmp"
 	"context"
 	"strings"
 	"sync"
@@ -13,19 +12,8 @@
 )
 
 const (
-	// stepInterval is the time between two steps of the changes.
-	stepInterval = 200 * time.Millisecond
 	// withdrawalGrace is how long after a restore of the store a missing order is not taken for withdrawn.
 	withdrawalGrace = 10 * time.Second
-	// extraFailures is the rate of failures beyond the old version's that the acceptance test excludes. With the
-	// few results of an interval of seconds, smaller rates can't be told from chance; the test for a bad version
-	// finds them where there are more.
-	extraFailures = 0.25
-	// minTrialPart leaves time for the steps from the trial's share to all requests before the deadline.
-	minTrialPart = 0.75
-	// holdAfterHarm is how long a change takes no further step after the last sign of harm: an interval is
-	// seconds long.
-	holdAfterHarm = time.Second
 	// formerVersion stands for all versions but the new one in a change.
 	formerVersion = "former"
 )
@@ -109,17 +97,6 @@
 	return p
 }
 
-// Observe counts a result of a request for a pool.
-func (c *Controller) Observe(now time.Time, pool string, r version.Result) {
-	c.mu.Lock()
-	p := c.pool(pool)
-	if p.split.Change == 0 || r.Version != p.split.Version {
-		r.Version = formerVersion
-	}
-	c.mu.Unlock()
-	p.counter.Add(now, r)
-}
-
 // Apply applies an update of the store's copy.
 func (c *Controller) Apply(now time.Time, update feed.Update) {
 	c.mu.Lock()
@@ -178,7 +155,7 @@
 		c.versions[it.Key] = at
 		r, err := decodeRecord(it.Value)
 		if err != nil {
-			c.Log.Write(now, timeline.Event{Kind: "rollout_record_unusable", Entry: it.Key, Revision: it.Revision, Why: errorText(err)})
+			c.Log.Write(now, timeline.Event{Kind: "rollout_record_unusable", Entry: it.Key, Revision: it.Revision, Why: err.Error()})
 			return
 		}
 		p := c.pool(r.Order.Pool)
@@ -202,7 +179,7 @@
 		err = o.Validate()
 	}
 	if err != nil {
-		c.Log.Write(now, timeline.Event{Kind: "rollout_order_unusable", Entry: strings.TrimPrefix(it.Key, c.OrderPrefix), Revision: it.Revision, Why: errorText(err), Decision: "ignored"})
+		c.Log.Write(now, timeline.Event{Kind: "rollout_order_unusable", Entry: strings.TrimPrefix(it.Key, c.OrderPrefix), Revision: it.Revision, Why: err.Error(), Decision: "ignored"})
 		return
 	}
 	p := c.pool(o.Pool)
@@ -283,184 +260,3 @@
 		},
 	})
 }
-
-// HandleEvidence adds the reports of another instance.
-func (c *Controller) HandleEvidence(now time.Time, data []byte) {
-	list, err := version.DecodeReports(data)
-	if err != nil {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.addReports(now, list)
-}
-
-func (c *Controller) addReports(now time.Time, list []version.Report) {
-	for _, r := range list {
-		for _, p := range c.pools {
-			if p.change != nil && p.change.Plan.ID == r.ChangeID {
-				p.change.Step(now, version.Event{Kind: version.Reported, Report: r})
-			}
-		}
-	}
-}
-
-// Run takes part in the changes until ctx ends. It only runs periodically while there is one to decide.
-func (c *Controller) Run(ctx context.Context) error {
-	tick := time.NewTicker(stepInterval)
-	defer tick.Stop()
-	c.mu.Lock()
-	changed := c.changedSignal()
-	c.mu.Unlock()
-	for {
-		select {
-		case <-tick.C:
-			if !c.Step(ctx, time.Now()) {
-				tick.Stop()
-			}
-		case <-changed:
-			tick.Reset(stepInterval)
-		case <-ctx.Done():
-			c.resign()
-			return ctx.Err()
-		}
-	}
-}
-
-// Step sends the evidence and, at a candidate, decides the changes that are not finished. It reports whether
-// there are any.
-func (c *Controller) Step(ctx context.Context, now time.Time) bool {
-	candidate := c.IsCandidate()
-	c.mu.Lock()
-	reports := c.takeReports()
-	pending := c.pendingPools()
-	if candidate {
-		c.syncChanges(now, pending)
-		c.addReports(now, reports)
-	}
-	c.mu.Unlock()
-	if len(reports) > 0 {
-		c.SendEvidence(version.AppendReports(nil, reports))
-	}
-	if len(pending) == 0 || !candidate {
-		c.resign()
-		return len(pending) > 0
-	}
-	if !c.holdLease(ctx, now) {
-		return true
-	}
-	for _, name := range pending {
-		if !c.decide(ctx, now, name) {
-			break
-		}
-	}
-	return true
-}
-
-func (c *Controller) takeReports() []version.Report {
-	var list []version.Report
-	for _, p := range c.pools {
-		if p.counting == 0 || len(list) == version.MaxReports {
-			continue
-		}
-		if r := p.counter.TakeReport(); len(r.Routes) > 0 && !p.finished() {
-			list = append(list, r)
-		}
-	}
-	return list
-}
-
-// finished reports whether the pool's latest change has ended, or that there is none.
-func (p *poolState) finished() bool {
-	if p.order != nil && (p.record == nil || !p.record.covers(*p.order, p.orderAt)) {
-		return false
-	}
-	return p.record == nil || p.record.state() != Running
-}
-
-// pendingPools returns the pools with a change to decide or a record to write.
-func (c *Controller) pendingPools() []string {
-	var names []string
-	for name, p := range c.pools {
-		if !p.finished() || p.dirty {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
-// syncChanges keeps one change for each pending pool; the caller holds mu.
-func (c *Controller) syncChanges(now time.Time, pending []string) {
-	for _, name := range pending {
-		p := c.pools[name]
-		if p.order == nil || p.finished() {
-			continue
-		}
-		if p.record == nil || !p.record.covers(*p.order, p.orderAt) {
-			c.beginChange(now, p)
-		}
-		if p.change == nil || p.change.Plan.ID != p.record.Change.ID {
-			p.change = version.NewChange(now, c.plan(now, p), changeLimits())
-			p.change.ResumeFrom(p.record.Change)
-		}
-	}
-}
-
-// beginChange creates the record of an order's change at this candidate.
-func (c *Controller) beginChange(now time.Time, p *poolState) {
-	number, barred := int64(1), []string(nil)
-	if p.record != nil {
-		number, barred = p.record.Number+1, p.record.barredAfter(*p.order)
-	}
-	plan := c.planFor(now, p, p.order.changeID(number))
-	p.record = &record{Order: *p.order, Number: number, Updated: now, OrderEra: p.orderAt.Era, OrderRevision: p.orderAt.Revision, Barred: barred, Change: version.NewChange(now, plan, changeLimits()).Record}
-	p.dirty, p.change = true, nil
-}
-
-// plan returns the plan of the recorded change, whose deadline may be earlier than this instance would set it.
-func (c *Controller) plan(now time.Time, p *poolState) version.Plan {
-	plan := c.planFor(now, p, p.record.Change.ID)
-	if recorded := p.record.Change.Deadline; recorded.Before(plan.Deadline) && now.Sub(recorded) < p.order.Interval {
-		plan.Deadline = recorded
-	}
-	return plan
-}
-
-// planFor returns the plan of a change. Its deadline is counted from the time at which this instance learned of
-// the order, since clocks differ.
-func (c *Controller) planFor(now time.Time, p *poolState, id uint64) version.Plan {
-	return version.Plan{
-		ID: id, Entry: p.order.Pool, From: formerVersion, To: p.order.Version,
-		Deadline: p.orderSeen.Add(p.order.Interval - p.order.settle()), LargestShare: c.Exposure.LargestShare(c.expectedRequests(now, p)),
-	}
-}
-
-// expectedRequests returns how many requests are expected in the interval of the pool's order.
-func (c *Controller) expectedRequests(now time.Time, p *poolState) float64 {
-	return c.Pools.RequestRate(now, p.order.Pool) * p.order.Interval.Seconds()
-}
-
-func changeLimits() version.Limits {
-	l := version.DefaultLimits()
-	l.ControlShare, l.KeepWarm, l.HoldAfterHarm, l.ExtraFailures, l.MinTrialPart = 0, settleTime, holdAfterHarm, extraFailures, minTrialPart
-	return l
-}
-
-// capacity returns the share that the new version's targets can take.
-func capacity(slots map[string]int, newVersion string) float64 {
-	oldSlots := 0
-	for v, n := range slots {
-		if v != newVersion {
-			oldSlots += n
-		}
-	}
-	if slots[newVersion] == 0 {
-		return 0
-	}
-	return min(1, capacityHeadroom*float64(slots[newVersion])/float64(max(oldSlots, 1)))
-}
-
-// capacityHeadroom lets slightly fewer new targets take over from the old ones.
-const capacityHeadroom = 1.25
-
-func errorText(err error) string { return cmp.Or(err.Error(), "unknown") }
--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -80,7 +80,7 @@
 func (f *fleet) newMember(i int) *member {
 	m := &member{fleet: f, index: i, splits: map[string]version.Split{}}
 	m.Controller = &Controller{
-		Instance: "i" + strconv.Itoa(i), Store: m, Pools: m, OrderPrefix: "op/rollout/", RecordPrefix: "own/rollouts/", DeciderKey: "own/decider",
+		Instance: "i" + strconv.Itoa(i), Store: m, Pools: m, OrderPrefix: "orders/", RecordPrefix: "records/", DeciderKey: "decider",
 		Exposure:    version.ExposureLimit{Share: exposeShare, Slack: badVersionSlack},
 		DecodeOrder: decodeTestOrder,
 		EncodeStatus: func(o Order, s State) (string, []byte) {
@@ -224,7 +224,7 @@
 	require.NoError(f.t, err)
 	f.revision++
 	f.orderedAt = f.now
-	f.notify(feed.Update{Changed: []feed.Item{f.put("op/rollout/"+pool, data, 0)}, Revision: f.revision, Era: f.era})
+	f.notify(feed.Update{Changed: []feed.Item{f.put("orders/"+pool, data, 0)}, Revision: f.revision, Era: f.era})
 }
 
 // copy and restore replace the store's content with an earlier one.
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -206,8 +206,8 @@
 	require.Equal(t, sentAfter, f.sent["v2"])
 
 	f.revision++
-	delete(f.items, "op/rollout/"+testPool)
-	f.notify(removal("op/rollout/"+testPool, f))
+	delete(f.items, "orders/"+testPool)
+	f.notify(removal("orders/"+testPool, f))
 	f.run(2 * time.Second)
 	require.Equal(t, "rolled_back v3", f.lastStatus())
 	sent = f.sent["v3"]
@@ -261,7 +261,7 @@
 	f.run(2 * time.Second)
 	for _, m := range f.members {
 		for key, v := range m.versions {
-			if key == "own/rollouts/"+testPool {
+			if key == "records/"+testPool {
 				v.Revision += 1000
 				m.versions[key] = v
 			}
--- a/pkg/route/availability.go
+++ b/pkg/route/availability.go
@@ -10,7 +10,7 @@
 	MaxBackoff = 5 * time.Minute
 )
 
-// Availability holds what targets have said about new requests: that they are leaving, or that they want
+// Availability holds what targets have stated about new requests: that they are leaving, or that they want
 // none for a time. Its zero value is ready for use; its owner guards it.
 type Availability struct {
 	leaving map[string]departing
@@ -21,7 +21,7 @@
 
 type departing struct {
 	startedAt time.Time
-	// announcedAt is when this instance itself was told, or the zero time.
+	// announcedAt is when the target stated it to this instance, or the zero time.
 	announcedAt time.Time
 	listedAt    time.Time
 }
@@ -85,7 +85,7 @@
 	return now.Before(a.remote[id])
 }
 
-// AnnouncedSince returns the start times of the targets, by ID, that have told this instance since a time
+// AnnouncedSince returns the start times of the targets, by ID, that have stated to this instance since a time
 // that they are leaving.
 func (a *Availability) AnnouncedSince(since time.Time) map[string]time.Time {
 	var out map[string]time.Time
--- a/pkg/version/sequential.go
+++ b/pkg/version/sequential.go
@@ -104,8 +104,8 @@
 	AcceptLogOdds [defectKinds]float64
 	// OwnFailures counts failures of the new version at times when the old one did not fail as well.
 	OwnFailures uint32
-	// ExtraFailures is the rate of failures beyond that of the old version that the acceptance test must tell
-	// from none; 0 means 0.05.
+	// ExtraFailures is the rate of failures beyond that of the old version that the acceptance test must
+	// distinguish from none; 0 means 0.05.
 	ExtraFailures float64
 	// pendingWindows are the latest windows, in which an outage may have begun.
 	pendingWindows [defectKinds]pendingWindow
