Bound what a wrong era of the store costs

Cause, found in reading the change: an era that is stated once but does not exist, by a malformed response or a datagram, stayed ahead of the copy, so that the instance read the whole store five times a second from then on.

Change: the era in which the store has returned its whole content is the one to compare with.

--- a/internal/feed/era.go
+++ b/internal/feed/era.go
@@ -28,6 +28,15 @@
 	}
 }
 
+// confirmEra records the era in which the store has returned its whole content. A later one that was stated
+// before was wrong, or belongs to answers that are still to come.
+func (r *Replicator) confirmEra(era int64) {
+	r.ObserveEra(era)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.observedEra = era
+}
+
 // EraRaised returns the channel that signals that ObservedEra has risen; it has one receiver.
 func (r *Replicator) EraRaised() <-chan struct{} {
 	r.Init()
--- a/internal/feed/era_test.go
+++ b/internal/feed/era_test.go
@@ -204,6 +204,23 @@
 	require.Equal(t, "2", recorder.get("operators/table"))
 }
 
+// Guards against an instance that reads the whole store again and again because one message or response stated
+// an era that the store does not have.
+func TestWrongEraCostsOneRead(t *testing.T) {
+	store := newStoreStub()
+	store.put("operators/table", "1")
+	r := &Replicator{Store: store}
+	recorder := startReplicator(t, r)
+	requireEventually(t, recorder, "operators/table", "1", time.Second)
+	store.update(func(s *storeStub) { s.ranges = 0 })
+	r.ObserveEra(99)
+	time.Sleep(WatchWait + time.Second)
+	store.put("operators/table", "2")
+	requireEventually(t, recorder, "operators/table", "2", time.Second)
+	store.update(func(s *storeStub) { require.Equal(t, len(r.Prefixes), s.ranges) })
+	require.EqualValues(t, 0, r.ObservedEra())
+}
+
 // Guards against a difference that is applied to a value of another era with the same revision.
 func TestDeltaNeedsItsEra(t *testing.T) {
 	base := Item{Key: "operators/table", Value: []byte(randomText(2000)), Revision: 8, Era: 1}
--- a/internal/feed/replicator.go
+++ b/internal/feed/replicator.go
@@ -299,7 +299,7 @@
 	if first.Era < from.Era {
 		return &EraError{Expected: from.Era, Received: first.Era}
 	}
-	r.ObserveEra(first.Era)
+	r.confirmEra(first.Era)
 	restored := r.recordRestore(now, from, first)
 	update := r.beginUpdate(now, first)
 	update.Full, update.Restored = true, restored
