--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -227,7 +227,7 @@
 	}
 }
 
-// currentSplit returns the division of the requests. Until a decider has begun the change of an order, the
+// currentSplit returns the division of the requests. Until a decider has started the change of an order, the
 // ordered version gets none.
 func (p *poolState) currentSplit() version.Split {
 	switch {
--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -60,7 +60,7 @@
 	*Controller
 	fleet *fleet
 	index int
-	// dead instances do nothing; cut ones do not reach the store, nor hear from it.
+	// dead instances do nothing; cut ones neither reach the store nor get its updates.
 	dead, cut bool
 	splits    map[string]version.Split
 	queue     []feed.Update
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -8,7 +8,7 @@
 
 const (
 	// extraFailures is the rate of failures beyond the old version's that the acceptance test excludes. With the
-	// few results of an interval of seconds, smaller rates can't be told from chance; the test for a bad version
+	// few results of an interval of seconds, smaller rates are not distinguishable from chance; the test for a bad version
 	// finds them where there are more.
 	extraFailures = 0.25
 	// minTrialPart leaves time for the steps from the trial's share to all requests before the deadline.
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -177,7 +177,7 @@
 	require.Zero(t, f.sent["v2"])
 }
 
-// Guards against requests to an ordered version before its change has begun.
+// Guards against requests to an ordered version before its change has started.
 func TestOrderedVersionWaitsForTheDecider(t *testing.T) {
 	f := newFleet(t, 6, 8, 120)
 	f.result = func(string, string, time.Duration) (bool, time.Duration) { return f.good() }
