Log requests whose connection ends without an answer

Callers saw requests that ended without an answer, and the logs could not tell why: a request that is dropped before its handler runs left no line, and one whose connection the instance closed itself ended as request_abandoned with caller_gone, as if the caller had left.

internal/callerconn wraps the callers' connections and counts the bytes of the current request and of its answer. A connection that ends with bytes of a request and none of an answer, though the caller has not left, is logged as request_unanswered with the reason of the close, and counted. Attempts and requests end with idle_timeout or grace_over where the instance closed the connection. When connections are closed is as before.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -190,7 +190,7 @@
 		c.relay.refuse(c.w, c.req, timeoutRefusal())
 		return
 	}
-	c.relay.logEnd(c.req, string(generation.Unknown), reasonCallerGone, 0)
+	c.relay.logEnd(c.req, string(generation.Unknown), c.req.callerEndReason(), 0)
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"bambooferry.example/bambooferry/internal/callerconn"
 )
 
 // instruments holds the relay's counters and histograms.
@@ -40,6 +42,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("bambooferry_refusals_total{code=%q}", refusal.Code)).Inc()
 }
 
+// recordUnanswered counts a request that ended without an answer.
+func (m *instruments) recordUnanswered(u callerconn.Unanswered) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("bambooferry_requests_unanswered_total{closed_by=%q,phase=%q}", u.ClosedBy, u.Phase)).Inc()
+}
+
 // recordStatement counts what targets state about new requests: "leaving" or "backoff".
 func (m *instruments) recordStatement(statement string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("bambooferry_target_statements_total{statement=%q}", statement)).Inc()
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"bambooferry.example/bambooferry/internal/callerconn"
 	"bambooferry.example/bambooferry/pkg/generation"
 )
 
@@ -27,9 +28,14 @@
 	codeTargetsBackOff = "targets_back_off"
 )
 
-// reasonCallerGone is the reason for a request whose caller has disconnected, or whose instance was
-// stopped immediately.
-const reasonCallerGone = "caller_gone"
+// reasonCallerGone is the reason for a request whose caller has disconnected.
+const reasonCallerGone = string(callerconn.CallerLeft)
+
+// callerEndReason returns why a request's connection has ended: reasonCallerGone, unless the instance
+// closed it itself.
+func (req *callerRequest) callerEndReason() string {
+	return string(callerconn.EndReason(req.http.Context()))
+}
 
 // Refusal is a final response that the instance itself generates.
 type Refusal struct {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"bambooferry.example/bambooferry/internal/callerconn"
 	"bambooferry.example/bambooferry/pkg/blackboard"
 	"bambooferry.example/bambooferry/pkg/route"
 	"bambooferry.example/bambooferry/pkg/timeline"
@@ -58,7 +59,7 @@
 	DeregistrationDelay time.Duration
 
 	targetConns   connPool
-	callerConns   callerConnTracker
+	callers       callerconn.HTTPServer
 	stoppingSince atomic.Pointer[time.Time]
 	instruments   instruments
 	initOnce      sync.Once
@@ -74,6 +75,8 @@
 	r.initOnce.Do(func() {
 		r.instruments.register(r.Metrics)
 		r.targetConns.ObserveDial = r.instruments.recordDial
+		r.callers.Handler, r.callers.ReportUnanswered = http.HandlerFunc(r.serveRequest), r.reportUnanswered
+		r.callers.HeaderTimeout, r.callers.MaxHeaderBytes = headerTimeout, maxCallerHeaderBytes
 		r.unreadableHeaders.Interval = unreadableLogInterval
 	})
 }
@@ -81,20 +84,19 @@
 // Run serves until ctx ends and then shuts down gracefully within GracePeriod.
 func (r *Relay) Run(ctx context.Context) error {
 	r.init()
-	callerServer := &http.Server{Handler: http.HandlerFunc(r.serveRequest), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxCallerHeaderBytes, ConnState: r.callerConns.onStateChange}
 	readinessServer := &http.Server{Handler: http.HandlerFunc(r.serveReadiness), ReadHeaderTimeout: headerTimeout}
 	group, running := errgroup.WithContext(context.WithoutCancel(ctx))
 	background, stopBackground := context.WithCancel(running)
 	r.probeContext = background
 	defer r.stopProbes(stopBackground)
-	group.Go(func() error { return ignoreServerClosed(callerServer.Serve(r.CallerListener)) })
+	group.Go(func() error { return r.callers.Serve(r.CallerListener) })
 	group.Go(func() error { return ignoreServerClosed(readinessServer.Serve(r.ReadinessListener)) })
 	group.Go(func() error { r.closeIdleConns(background); return nil })
 	select {
 	case <-ctx.Done():
 	case <-running.Done():
 	}
-	r.shutDown(callerServer)
+	r.shutDown()
 	stopBackground()
 	_ = readinessServer.Close()
 	return group.Wait()
@@ -125,7 +127,7 @@
 
 // shutDown waits until the load balancer has taken the instance out, then accepts no connections
 // and waits for the requests in progress.
-func (r *Relay) shutDown(callerServer *http.Server) {
+func (r *Relay) shutDown() {
 	startedAt := time.Now()
 	r.stoppingSince.Store(&startedAt)
 	r.Log.Write(startedAt, timeline.Event{Kind: "instance_stopping", Inputs: []timeline.Input{{Name: "grace_ms", Value: r.GracePeriod.Milliseconds()}}})
@@ -133,12 +135,21 @@
 	time.Sleep(min(r.DeregistrationDelay, time.Until(deadline)))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	if err := callerServer.Shutdown(ctx); err != nil {
-		r.Log.Write(time.Now(), timeline.Event{Kind: "requests_broken_off", Why: "grace_over", Inputs: []timeline.Input{{Name: "connections", Value: int64(r.callerConns.activeCount())}}})
-		_ = callerServer.Close()
+	if err := r.callers.Shutdown(ctx); err != nil {
+		r.Log.Write(time.Now(), timeline.Event{Kind: "requests_broken_off", Why: "grace_over", Inputs: []timeline.Input{{Name: "connections", Value: int64(r.callers.ServingCount())}}})
+		_ = r.callers.Close(callerconn.GraceOver)
 	}
 }
 
+// reportUnanswered logs and counts a request that ended without an answer.
+func (r *Relay) reportUnanswered(now time.Time, u callerconn.Unanswered) {
+	r.instruments.recordUnanswered(u)
+	r.Log.Write(now, timeline.Event{
+		Kind: "request_unanswered", Member: u.Caller.String(), Why: string(u.ClosedBy), Decision: u.Phase,
+		Inputs: []timeline.Input{{Name: "read_bytes", Value: u.ReadBytes}, {Name: "held_ms", Value: u.Held.Milliseconds()}},
+	})
+}
+
 // serveReadiness responds to the load balancer: an instance is ready while it has a table and is
 // not shutting down.
 func (r *Relay) serveReadiness(w http.ResponseWriter, _ *http.Request) {
@@ -159,7 +170,7 @@
 		case now := <-tick.C:
 			r.targetConns.closeExpired(now)
 			if t, ok := TableKey.Get(r.Board); ok && t.Limits.IdleTimeout > 0 {
-				r.callerConns.closeIdle(now, t.Limits.IdleTimeout)
+				r.callers.CloseIdle(now, t.Limits.IdleTimeout)
 			}
 		case <-ctx.Done():
 			return
--- a/internal/relay/stream_end.go
+++ b/internal/relay/stream_end.go
@@ -20,7 +20,7 @@
 	case st.gen.Done() && st.failure == nil && st.ctx.Err() == nil && !st.aborted:
 		r.logStreamEnd(st, string(generation.Ran), "whole")
 	case callerGone:
-		r.logStreamEnd(st, string(generation.Unknown), reasonCallerGone)
+		r.logStreamEnd(st, string(generation.Unknown), st.req.callerEndReason())
 		panic(http.ErrAbortHandler)
 	case st.headerSent:
 		r.logStreamEnd(st, string(generation.Ran), st.failureReason())
