Test requests that arrive while the idle timeout closes connections

What callers saw: a request whose header came in two parts around a change of the idle timeout got no answer, on new connections and on kept ones; the connection was closed.

Cause: net/http reports StateActive only once the whole header has been read, so the check for idle connections takes a connection with the first part of a request for an idle one.

TestIdleTimeoutSparesRequestsThatArrive sends the first part of ten requests, lowers the timeout to 100 ms, waits until an idle connection has been closed and sends the rest.

--- /dev/null
+++ b/internal/relay/unanswered_test.go
@@ -0,0 +1,134 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// rawCaller writes the bytes of its requests itself and keeps its connection.
+type rawCaller struct {
+	t    *testing.T
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func (r *testRelay) dial() *rawCaller {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.callerAddress)
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { _ = c.Close() })
+	return &rawCaller{t: r.t, conn: c, in: bufio.NewReader(c)}
+}
+
+func (c *rawCaller) send(text string) {
+	c.t.Helper()
+	_, err := io.WriteString(c.conn, text)
+	require.NoError(c.t, err)
+}
+
+// receive reads one response.
+func (c *rawCaller) receive() callerResponse {
+	_ = c.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	res, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return callerResponse{err: err}
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if res.Close {
+		// http.ReadResponse removes the header.
+		res.Header.Set("Connection", "close")
+	}
+	return callerResponse{status: res.StatusCode, header: res.Header, body: string(data), err: err}
+}
+
+// requestText returns the bytes of a request; headers are whole lines.
+func requestText(path, id, headers string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\nId: %s\r\nKey: k\r\n%sContent-Length: 4\r\n\r\nbody", path, id, headers)
+}
+
+// putIdleTimeout puts a table with another idle timeout in force.
+func (r *testRelay) putIdleTimeout(d time.Duration) {
+	table := testRelayTable()
+	if old, ok := TableKey.Get(r.relay.Board); ok {
+		table.Version = old.Version + 1
+	}
+	table.Limits.IdleTimeout = d
+	TableKey.Put(r.relay.Board, table)
+}
+
+// partialRequest is a request of which the caller has sent the first part.
+type partialRequest struct {
+	name   string
+	caller *rawCaller
+	rest   string
+}
+
+// sendFirstParts sends the first parts of requests, each on a connection of its own: new ones, and
+// ones that have carried a request.
+func sendFirstParts(t *testing.T, tr *testRelay) []partialRequest {
+	t.Helper()
+	cuts := []struct {
+		name   string
+		length func(text string) int
+	}{
+		{"first byte", func(string) int { return 1 }},
+		{"three bytes", func(string) int { return 3 }},
+		{"within a header line", func(text string) int { return strings.Index(text, "Content-") + 5 }},
+		{"before the empty line", func(text string) int { return strings.Index(text, "\r\n\r\n") + 2 }},
+		{"within the body", func(text string) int { return len(text) - 2 }},
+	}
+	var list []partialRequest
+	for _, kind := range []string{"new", "kept"} {
+		for _, cut := range cuts {
+			c, name := tr.dial(), kind+" connection, "+cut.name
+			if kind == "kept" {
+				c.send(requestText("/book/1", "before", ""))
+				require.Equal(t, http.StatusOK, c.receive().status)
+			}
+			text := requestText("/book/2", name, "")
+			n := cut.length(text)
+			c.send(text[:n])
+			list = append(list, partialRequest{name: name, caller: c, rest: text[n:]})
+		}
+	}
+	return list
+}
+
+func startAnsweringStub(t *testing.T) *engineStub {
+	t.Helper()
+	return startStub(t, "e1", func(c net.Conn, r *http.Request, _ string) bool {
+		return writeResponse(c, r, http.StatusOK, "whole", "Seal: s")
+	})
+}
+
+// Guards against an idle timeout that closes a connection on which a request has begun to arrive.
+func TestIdleTimeoutSparesRequestsThatArrive(t *testing.T) {
+	tr := startRelay(t, startAnsweringStub(t))
+	partial := sendFirstParts(t, tr)
+	idle := tr.dial()
+	idle.send(requestText("/book/1", "idle", ""))
+	require.Equal(t, http.StatusOK, idle.receive().status)
+	tr.putIdleTimeout(100 * time.Millisecond)
+	_, err := idle.in.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "the idle connection must be closed")
+	time.Sleep(50 * time.Millisecond)
+	for _, p := range partial {
+		t.Run(p.name, func(t *testing.T) {
+			_, err := io.WriteString(p.caller.conn, p.rest)
+			require.NoError(t, err)
+			got := p.caller.receive()
+			require.NoError(t, got.err)
+			require.Equal(t, http.StatusOK, got.status)
+			require.Equal(t, "whole", got.body)
+		})
+	}
+}
