Test requests that arrive while an instance stops

What callers saw: a request whose first part had arrived before the stop, and whose rest came 300 ms after the deregistration delay, got no answer.

Cause: Shutdown closes a kept connection whose header is incomplete as idle, and on a new connection net/http's server returns without an answer when it has read a request while it shuts down.

--- a/internal/relay/unanswered_test.go
+++ b/internal/relay/unanswered_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"bambooferry.example/bambooferry/pkg/generation"
 )
 
 // rawCaller writes the bytes of its requests itself and keeps its connection.
@@ -132,3 +135,44 @@
 		})
 	}
 }
+
+// Guards against a stop that closes a connection on which a request has begun to arrive.
+func TestStopSparesRequestsThatArrive(t *testing.T) {
+	e := startAnsweringStub(t)
+	tr := startRelay(t, e)
+	partial := sendFirstParts(t, tr)
+	tr.stop()
+	time.Sleep(tr.relay.DeregistrationDelay + 300*time.Millisecond)
+	for _, p := range partial {
+		t.Run(p.name, func(t *testing.T) {
+			_, err := io.WriteString(p.caller.conn, p.rest)
+			require.NoError(t, err)
+			got := p.caller.receive()
+			require.NoError(t, got.err)
+			require.Equal(t, "close", got.header.Get("Connection"))
+			if got.status == http.StatusOK {
+				require.Equal(t, "whole", got.body)
+				return
+			}
+			requireStoppingRefusal(t, got)
+			require.NotContains(t, e.seenRequests(), p.name)
+		})
+	}
+}
+
+// requireStoppingRefusal checks that a response is the refusal of an instance that stops.
+func requireStoppingRefusal(t *testing.T, got callerResponse) {
+	t.Helper()
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Equal(t, codeStopping, ownResponse(t, got).Code)
+	require.Equal(t, generation.NotRun, ownResponse(t, got).Outcome)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+}
+
+// ownResponse returns the body of a response that the instance itself generated.
+func ownResponse(t *testing.T, got callerResponse) Refusal {
+	t.Helper()
+	var body Refusal
+	require.NoError(t, json.Unmarshal([]byte(got.body), &body), got.body)
+	return body
+}
