Test connections in the listener's queue at a stop

What callers saw: "connection reset by peer" after a request that they had sent 100 ms before the listener was closed.

Cause: closing the listener resets the connections that the kernel holds for it. An instance that has failed to accept, as it does without file descriptors, waits up to a second before it accepts again; the test produces this with a deadline at the listener.

--- a/internal/relay/unanswered_test.go
+++ b/internal/relay/unanswered_test.go
@@ -176,3 +176,33 @@
 	require.NoError(t, json.Unmarshal([]byte(got.body), &body), got.body)
 	return body
 }
+
+// Guards against a stop that drops connections which wait in the listener's queue.
+func TestStopAnswersQueuedConnections(t *testing.T) {
+	e := startAnsweringStub(t)
+	tr := startRelay(t, e)
+	ln, ok := tr.relay.CallerListener.(*net.TCPListener)
+	require.True(t, ok)
+	// The server tries again 1,275 and 2,275 ms after its first failure to accept.
+	require.NoError(t, ln.SetDeadline(time.Now()))
+	time.Sleep(1400 * time.Millisecond)
+	require.NoError(t, ln.SetDeadline(time.Time{}))
+	var queued []*rawCaller
+	for n := range 5 {
+		c := tr.dial()
+		c.send(requestText("/book/1", fmt.Sprint(n), ""))
+		queued = append(queued, c)
+	}
+	tr.stop()
+	for n, c := range queued {
+		got := c.receive()
+		require.NoError(t, got.err)
+		require.Equal(t, "close", got.header.Get("Connection"))
+		if got.status == http.StatusOK {
+			require.Equal(t, "whole", got.body)
+			continue
+		}
+		requireStoppingRefusal(t, got)
+		require.NotContains(t, e.seenRequests(), fmt.Sprint(n))
+	}
+}
