Test requests that are in progress at the end of the grace period

What callers saw: calls and streams without a header yet, at a target that stayed silent, ended with their connections 250 ms before the end of the grace period and without an answer; so did a call that arrived during the deregistration delay.

Cause: http.Server.Close closes the connections of requests whose handlers are running.

TestStopAnswersRequestsInProgress asks for a 502 or 504 with the outcome "unknown", since the target has the request and a 503 would say that it was not run; a request that did not reach the target may be refused.

--- a/internal/relay/unanswered_test.go
+++ b/internal/relay/unanswered_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -206,3 +208,61 @@
 		require.NotContains(t, e.seenRequests(), fmt.Sprint(n))
 	}
 }
+
+// Guards against the end of the grace period closing connections whose requests are in progress.
+func TestStopAnswersRequestsInProgress(t *testing.T) {
+	e := startStub(t, "e1", func(c net.Conn, r *http.Request, _ string) bool {
+		if r.Header.Get("Id") == "before" {
+			return writeResponse(c, r, http.StatusOK, "whole", "Seal: s")
+		}
+		// The read ends when the relay gives up.
+		_, _ = c.Read(make([]byte, 1))
+		return false
+	})
+	tr := startRelay(t, e)
+	callers := map[string]*rawCaller{}
+	for _, path := range []string{"/book/1", "/view/1", "/draft/1", "/once/1"} {
+		callers[path] = tr.dial()
+		callers[path].send(requestText(path, path, "Patience: 10s\r\n"))
+	}
+	for path := range callers {
+		require.Eventually(t, func() bool { return slices.Contains(e.seenRequests(), path) }, time.Second, time.Millisecond)
+	}
+	late := tr.dial()
+	late.send(requestText("/book/1", "before", ""))
+	require.Equal(t, http.StatusOK, late.receive().status)
+	text := requestText("/book/2", "deregistration delay", "")
+	late.send(text[:20])
+	callers["deregistration delay"] = late
+	stoppedAt := time.Now()
+	tr.stop()
+	time.Sleep(tr.relay.DeregistrationDelay / 5)
+	late.send(text[20:])
+
+	var mu sync.Mutex
+	responses, answeredAfter := map[string]callerResponse{}, map[string]time.Duration{}
+	var group sync.WaitGroup
+	for name, c := range callers {
+		group.Go(func() {
+			got := c.receive()
+			mu.Lock()
+			defer mu.Unlock()
+			responses[name], answeredAfter[name] = got, time.Since(stoppedAt)
+		})
+	}
+	group.Wait()
+	for name, got := range responses {
+		t.Run(name, func(t *testing.T) {
+			require.NoError(t, got.err)
+			require.Less(t, answeredAfter[name], tr.relay.GracePeriod)
+			require.Equal(t, "close", got.header.Get("Connection"))
+			if !slices.Contains(e.seenRequests(), name) {
+				requireStoppingRefusal(t, got)
+				return
+			}
+			// A 503 would say that the request was not run.
+			require.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, got.status)
+			require.Equal(t, generation.Unknown, ownResponse(t, got).Outcome)
+		})
+	}
+}
