Test calls that come late in the grace period

What callers saw: a call whose last part came a third into the grace period got no answer, whether its time limit ended within the grace period or after it.

An instance that serves such calls must also refuse those that it can't finish: with 503, instance_stopping and not_run, and without sending them.

--- a/internal/relay/unanswered_test.go
+++ b/internal/relay/unanswered_test.go
@@ -266,3 +266,47 @@
 		})
 	}
 }
+
+// Guards against accepting calls whose time limits end after the grace period.
+func TestStopRefusesCallsThatOutlastGracePeriod(t *testing.T) {
+	e := startStub(t, "e1", func(c net.Conn, r *http.Request, _ string) bool {
+		if strings.HasPrefix(r.Header.Get("Id"), "long") {
+			_, _ = c.Read(make([]byte, 1))
+			return false
+		}
+		return writeResponse(c, r, http.StatusOK, "whole", "Seal: s")
+	})
+	tr := startRelay(t, e)
+	var partial []partialRequest
+	for _, path := range []string{"/book/1", "/view/1"} {
+		for _, limit := range []string{"long", "short"} {
+			c := tr.dial()
+			c.send(requestText(path, "before", ""))
+			require.Equal(t, http.StatusOK, c.receive().status)
+			name := limit + path
+			text := requestText(path, name, map[string]string{"long": "Patience: 5s\r\n", "short": "Patience: 1s\r\n"}[limit])
+			c.send(text[:20])
+			partial = append(partial, partialRequest{name: name, caller: c, rest: text[20:]})
+		}
+	}
+	tr.stop()
+	time.Sleep(tr.relay.GracePeriod / 3)
+	for _, p := range partial {
+		t.Run(p.name, func(t *testing.T) {
+			sentAt := time.Now()
+			_, err := io.WriteString(p.caller.conn, p.rest)
+			require.NoError(t, err)
+			got := p.caller.receive()
+			require.NoError(t, got.err)
+			require.Less(t, time.Since(sentAt), 500*time.Millisecond)
+			require.Equal(t, "close", got.header.Get("Connection"))
+			if strings.HasPrefix(p.name, "short") {
+				require.Equal(t, http.StatusOK, got.status)
+				require.Equal(t, "whole", got.body)
+				return
+			}
+			requireStoppingRefusal(t, got)
+			require.NotContains(t, e.seenRequests(), p.name)
+		})
+	}
+}
