Keep connections whose next request begins while a handler runs

What callers saw: a request on a kept connection, whose first byte arrived before the handler of the request before had ended, got no answer when the connection was closed as idle.

Cause: while a handler runs, net/http watches the connection by a read of one byte and keeps that byte for the next request. The connection was then taken for idle at the end of the answer.

Change: such a byte makes the connection one that receives a request as soon as the answer is complete.

What remains: with pipelined requests, up to three bytes of a request that arrive in one segment with the request before are not noticed until more of it arrives.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -64,6 +64,8 @@
 	// readBytes and writtenBytes count the bytes of the current request and its answer.
 	readBytes    int64
 	writtenBytes int64
+	// nextRequestAt is when the first byte of the next request was read while a handler ran, or zero.
+	nextRequestAt time.Time
 	// closeDue is the reason for which the connection is to be closed while it is idle, or "".
 	closeDue Reason
 	// readDeadline is the deadline that net/http has set. While a close is due the connection has the
@@ -80,7 +82,7 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.awaitsRequest() {
 		n, err = c.readArrived(p, err)
 	}
-	c.recordRead(time.Now(), n, err)
+	c.recordRead(time.Now(), n, len(p), err)
 	return n, err
 }
 
@@ -118,7 +120,8 @@
 	return c.phase != serving
 }
 
-func (c *conn) recordRead(now time.Time, n int, err error) {
+// recordRead records the result of a read into a buffer of size bytes.
+func (c *conn) recordRead(now time.Time, n, size int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
@@ -127,8 +130,13 @@
 			c.requestAt = now
 		}
 		c.readBytes += int64(n)
-		if c.phase == idle {
+		switch {
+		case c.phase == idle:
 			c.phase = receiving
+		case c.phase == serving && size == 1:
+			// net/http watches the connection of a running handler by a read of one byte, which begins
+			// after the request's last byte.
+			c.nextRequestAt = now
 		}
 		return
 	}
@@ -184,6 +192,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase, c.idleSince, c.readBytes, c.writtenBytes = idle, now, 0, 0
+	if !c.nextRequestAt.IsZero() {
+		c.phase, c.requestAt, c.readBytes, c.nextRequestAt = receiving, c.nextRequestAt, 1, time.Time{}
+	}
 }
 
 // closeIfIdle lets the connection be closed if it has been idle for longer than limit and no data
--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -223,6 +223,49 @@
 	}
 }
 
+// Guards against closing a connection as idle whose next request began while a handler ran.
+func TestCloseSparesRequestThatBeganDuringHandler(t *testing.T) {
+	for name, begun := range map[string]string{"first byte": "G", "header line": "GET / HTTP/1.1\r\nHo"} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			running, release := make(chan struct{}, 2), make(chan struct{}, 2)
+			s := &HTTPServer{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				running <- struct{}{}
+				<-release
+			})}
+			go func() { _ = s.Serve(ln) }()
+			defer func() { _ = s.Close(GraceOver) }()
+			c, err := net.Dial("tcp", ln.Addr().String())
+			require.NoError(t, err)
+			defer c.Close()
+			request := "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+			fmt.Fprint(c, request)
+			<-running
+			fmt.Fprint(c, begun)
+			tracked := s.openConns()[0]
+			require.Eventually(t, func() bool { return tracked.bytesRead() > int64(len(request)) }, time.Second, time.Millisecond)
+			release <- struct{}{}
+			in := bufio.NewReader(c)
+			_, err = http.ReadResponse(in, nil)
+			require.NoError(t, err)
+			time.Sleep(20 * time.Millisecond)
+			s.CloseIdle(time.Now().Add(time.Hour), time.Minute)
+			time.Sleep(20 * time.Millisecond)
+			fmt.Fprint(c, request[len(begun):])
+			release <- struct{}{}
+			_, err = http.ReadResponse(in, nil)
+			require.NoError(t, err)
+		})
+	}
+}
+
+func (c *conn) bytesRead() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readBytes
+}
+
 // Guards against a drain that does not end, or that hides requests in progress.
 func TestDrainReportsOpenConns(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
