Bound the time of a request's header from its first byte

What callers would see: nothing; an instance kept a connection for good on which fewer than four bytes of a request had arrived, since such a connection no longer counts as idle and net/http sets its deadline for the header only after four bytes.

Change: the header timeout begins with the first byte that was read.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -54,6 +54,9 @@
 // request that the process has read, or that has arrived when the close is decided, is served.
 type conn struct {
 	*net.TCPConn
+	// headerTimeout bounds the time from a request's first byte to the end of its header; 0 means that
+	// there is no bound.
+	headerTimeout time.Duration
 
 	mu    sync.Mutex
 	phase phase
@@ -133,6 +136,7 @@
 		switch {
 		case c.phase == idle:
 			c.phase = receiving
+			c.applyReadDeadline()
 		case c.phase == serving && size == 1:
 			// net/http watches the connection of a running handler by a read of one byte, which begins
 			// after the request's last byte.
@@ -155,8 +159,7 @@
 		return
 	}
 	c.closeDue = ""
-	// On an error the next read returns it too.
-	_ = c.TCPConn.SetReadDeadline(c.readDeadline)
+	c.applyReadDeadline()
 }
 
 // SetReadDeadline sets the deadline of reads, which a close that is due precedes.
@@ -164,10 +167,23 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
-	if c.closeDue != "" {
-		return nil
+	c.applyReadDeadline()
+	return nil
+}
+
+// applyReadDeadline sets the deadline that applies in the current phase; the caller holds mu.
+//
+// net/http sets none until it has read four bytes of a request.
+func (c *conn) applyReadDeadline() {
+	t := c.readDeadline
+	switch {
+	case c.closeDue != "":
+		t = expired
+	case t.IsZero() && c.phase == receiving && c.headerTimeout > 0:
+		t = c.requestAt.Add(c.headerTimeout)
 	}
-	return c.TCPConn.SetReadDeadline(t)
+	// On an error the next read returns it too.
+	_ = c.TCPConn.SetReadDeadline(t)
 }
 
 // Write writes to the connection.
@@ -183,8 +199,8 @@
 func (c *conn) setServing() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.phase = serving
-	c.cancelClose()
+	c.phase, c.closeDue = serving, ""
+	c.applyReadDeadline()
 }
 
 // setIdle records that the connection was accepted, or that a request was answered completely.
@@ -206,8 +222,7 @@
 		return
 	}
 	c.closeDue = reason
-	// On an error the read that is in progress returns it too.
-	_ = c.TCPConn.SetReadDeadline(expired)
+	c.applyReadDeadline()
 }
 
 // markClosed records why the instance closes the connection.
--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -28,7 +28,7 @@
 	defer ln.Close()
 	caller, err := net.Dial("tcp", ln.Addr().String())
 	require.NoError(t, err)
-	accepted, err := (&listener{ln}).Accept()
+	accepted, err := (&listener{Listener: ln}).Accept()
 	require.NoError(t, err)
 	t.Cleanup(func() { _, _ = caller.Close(), accepted.Close() })
 	c := accepted.(*conn)
@@ -260,6 +260,34 @@
 	}
 }
 
+// Guards against connections that are kept for good by the first bytes of a request.
+func TestUnfinishedHeaderIsBounded(t *testing.T) {
+	for name, sent := range map[string]string{"first byte": "G", "header line": "GET / HTTP/1.1\r\nHo"} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			s := &HTTPServer{HeaderTimeout: 100 * time.Millisecond, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+			go func() { _ = s.Serve(ln) }()
+			defer func() { _ = s.Close(GraceOver) }()
+			c, err := net.Dial("tcp", ln.Addr().String())
+			require.NoError(t, err)
+			defer c.Close()
+			in := bufio.NewReader(c)
+			for range 2 {
+				fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+				_, err = http.ReadResponse(in, nil)
+				require.NoError(t, err)
+				time.Sleep(150 * time.Millisecond)
+			}
+			fmt.Fprint(c, sent)
+			require.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+			// net/http may state the reason.
+			_, err = io.ReadAll(in)
+			require.NoError(t, err, "the connection must be closed")
+		})
+	}
+}
+
 func (c *conn) bytesRead() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -16,6 +16,8 @@
 // listener wraps accepted connections.
 type listener struct {
 	net.Listener
+	// headerTimeout is that of its connections.
+	headerTimeout time.Duration
 }
 
 // Accept returns the next connection.
@@ -30,7 +32,7 @@
 		_ = c.Close()
 		return nil, &net.OpError{Op: "accept", Net: network, Err: net.UnknownNetworkError(network)}
 	}
-	return &conn{TCPConn: t}, nil
+	return &conn{TCPConn: t, headerTimeout: l.headerTimeout}, nil
 }
 
 // closeWhenEmpty closes the listener once the connections that the kernel has completed are accepted,
--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -71,7 +71,7 @@
 // Serve accepts connections on ln until the server is drained or closed.
 func (s *HTTPServer) Serve(ln net.Listener) error {
 	s.init()
-	l := &listener{ln}
+	l := &listener{Listener: ln, headerTimeout: s.HeaderTimeout}
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
