Answer or refuse what a stop can't finish

What callers saw: calls, and streams of which nothing had been sent, ended with their connections 250 ms before the end of the grace period and without an answer; so did calls that had come late on an open connection.

Cause: a stop had no time by which a request must be answered. It admitted calls without a look at the time that was left, and ended those in progress by closing their connections.

Change: from SIGTERM on a request whose deadline lies after the end of the grace period is refused at once (503, instance_stopping, not_run), as streams are. 250 ms before the connections are closed, requests to which nothing has been sent are interrupted and answered: 502 instance_stopping with an unknown outcome if a target may have run them, else 503. A stream that has begun goes on until the connections are closed.

Evidence: TestStopAnswersRequestsInProgress and TestStopRefusesCallsThatOutlastGracePeriod failed in 18 of 18 runs before; the package's tests pass in 3 of 3 runs with -race.

Ruled out: a shorter time limit for requests in progress when a stop begins; most of them end in time, and a call that was cut earlier would lose its answer.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -184,10 +184,11 @@
 	}
 }
 
-// abandon ends a call whose deadline has passed or whose caller has disconnected.
+// abandon ends a call whose deadline has passed, whose caller has disconnected or whose instance
+// stops.
 func (c *callHandler) abandon(ctx context.Context) {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		c.relay.refuse(c.w, c.req, timeoutRefusal())
+	if refusal := interruptedRefusal(ctx); refusal != nil {
+		c.relay.refuse(c.w, c.req, refusal)
 		return
 	}
 	c.relay.logEnd(c.req, string(generation.Unknown), c.req.callerEndReason(), 0)
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -1,12 +1,15 @@
 package relay
 
 import (
+	"context"
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"bambooferry.example/bambooferry/internal/callerconn"
 	"bambooferry.example/bambooferry/pkg/generation"
 )
@@ -61,6 +64,18 @@
 	return &Refusal{Status: http.StatusGatewayTimeout, Code: codeTimeout, Outcome: generation.Unknown}
 }
 
+// interruptedRefusal returns the response to a request that may have run and whose context has ended
+// without its caller disconnecting, or nil.
+func interruptedRefusal(ctx context.Context) *Refusal {
+	switch {
+	case errors.Is(context.Cause(ctx), errGraceOver):
+		return &Refusal{Status: http.StatusBadGateway, Code: codeStopping, Outcome: generation.Unknown}
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return timeoutRefusal()
+	}
+	return nil
+}
+
 // jitter returns a random time around d, so that callers refused together do not retry together.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,6 +36,8 @@
 	// shutdownMargin is the part of the grace period that is reserved for writing the last log
 	// lines.
 	shutdownMargin = 250 * time.Millisecond
+	// finalAnswerTime is the part before it in which interrupted requests are answered.
+	finalAnswerTime = 250 * time.Millisecond
 )
 
 // Relay proxies requests to targets; set its exported fields before Run.
@@ -61,8 +63,11 @@
 	targetConns   connPool
 	callers       callerconn.HTTPServer
 	stoppingSince atomic.Pointer[time.Time]
-	instruments   instruments
-	initOnce      sync.Once
+	// graceContext ends with errGraceOver when a stop calls interruptRequests.
+	graceContext      context.Context
+	interruptRequests context.CancelCauseFunc
+	instruments       instruments
+	initOnce          sync.Once
 	// probes check the addresses of lost targets until probeContext ends.
 	probesMu     sync.Mutex
 	probes       sync.WaitGroup
@@ -75,6 +80,7 @@
 	r.initOnce.Do(func() {
 		r.instruments.register(r.Metrics)
 		r.targetConns.ObserveDial = r.instruments.recordDial
+		r.graceContext, r.interruptRequests = context.WithCancelCause(context.Background())
 		r.callers.Handler, r.callers.ReportUnanswered = http.HandlerFunc(r.serveRequest), r.reportUnanswered
 		r.callers.HeaderTimeout, r.callers.MaxHeaderBytes = headerTimeout, maxCallerHeaderBytes
 		r.unreadableHeaders.Interval = unreadableLogInterval
@@ -89,6 +95,7 @@
 	background, stopBackground := context.WithCancel(running)
 	r.probeContext = background
 	defer r.stopProbes(stopBackground)
+	defer r.interruptRequests(nil)
 	group.Go(func() error { return r.callers.Serve(r.CallerListener) })
 	group.Go(func() error { return ignoreServerClosed(readinessServer.Serve(r.ReadinessListener)) })
 	group.Go(func() error { r.closeIdleConns(background); return nil })
@@ -126,12 +133,15 @@
 }
 
 // shutDown waits until the load balancer has taken the instance out, then accepts no connections
-// and waits for the requests in progress.
+// and waits for the requests in progress. Those that are not finished in time are interrupted early
+// enough to be answered.
 func (r *Relay) shutDown() {
 	startedAt := time.Now()
 	r.stoppingSince.Store(&startedAt)
 	r.callers.BeginStop()
 	r.Log.Write(startedAt, timeline.Event{Kind: "instance_stopping", Inputs: []timeline.Input{{Name: "grace_ms", Value: r.GracePeriod.Milliseconds()}}})
+	interrupt := time.AfterFunc(time.Until(r.interruptsAt(startedAt)), func() { r.interruptRequests(errGraceOver) })
+	defer interrupt.Stop()
 	deadline := startedAt.Add(r.GracePeriod - shutdownMargin)
 	time.Sleep(min(r.DeregistrationDelay, time.Until(deadline)))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
@@ -146,6 +156,14 @@
 	_ = r.callers.Close(callerconn.GraceOver)
 }
 
+// errGraceOver interrupts the requests that are in progress near the end of the grace period.
+var errGraceOver = errors.New("grace period is over")
+
+// interruptsAt returns when a stop that began at startedAt interrupts requests.
+func (r *Relay) interruptsAt(startedAt time.Time) time.Time {
+	return startedAt.Add(r.GracePeriod - shutdownMargin - finalAnswerTime)
+}
+
 // reportUnanswered logs and counts a request that ended without an answer.
 func (r *Relay) reportUnanswered(now time.Time, u callerconn.Unanswered) {
 	r.instruments.recordUnanswered(u)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -44,6 +44,8 @@
 	deadline  time.Time
 	// attemptCount is the number of attempts so far.
 	attemptCount int
+	// disableInterrupt lets the request go on after the time at which a stop interrupts requests.
+	disableInterrupt func() bool
 }
 
 // serveRequest responds to one request of a caller.
@@ -62,7 +64,7 @@
 		r.refuse(w, req, notRunRefusal(codeCrashes, markedRetryAfter))
 		return
 	}
-	ctx, cancel := context.WithDeadline(httpReq.Context(), req.deadline)
+	ctx, cancel := r.contextOf(req)
 	defer cancel()
 	r.instruments.requestStarted(req)
 	defer r.instruments.requestEnded(req)
@@ -73,6 +75,19 @@
 	r.serveCall(ctx, w, req)
 }
 
+// contextOf returns a context that ends at the request's deadline, when its caller disconnects, and
+// when a stop interrupts requests.
+func (r *Relay) contextOf(req *callerRequest) (context.Context, context.CancelFunc) {
+	interruptible, interrupt := context.WithCancelCause(req.http.Context())
+	req.disableInterrupt = context.AfterFunc(r.graceContext, func() { interrupt(context.Cause(r.graceContext)) })
+	ctx, cancel := context.WithDeadline(interruptible, req.deadline)
+	return ctx, func() {
+		req.disableInterrupt()
+		cancel()
+		interrupt(nil)
+	}
+}
+
 // admit finds the route, the workspace and the deadline of a request, or refuses it.
 func (r *Relay) admit(now time.Time, req *callerRequest) *Refusal {
 	table, ok := TableKey.Get(r.Board)
@@ -92,15 +107,23 @@
 	if req.pool = r.Targets.pool(req.poolName); req.pool == nil {
 		return notRunRefusal(codeNoTarget, jitter(unavailableRetryAfter))
 	}
-	if req.route.Kind == route.Streaming && r.stoppingSince.Load() != nil {
-		// The stream would probably not end within the grace period, and another instance accepts
-		// it at once.
+	req.deadline = now.Add(timeoutOf(req))
+	if r.mayOutlastGrace(req) {
+		// Another instance accepts it at once.
 		return notRunRefusal(codeStopping, stoppingRetryAfter)
 	}
-	req.deadline = now.Add(timeoutOf(req))
 	return nil
 }
 
+// mayOutlastGrace reports whether a request might not end before this instance stops.
+func (r *Relay) mayOutlastGrace(req *callerRequest) bool {
+	stoppingSince := r.stoppingSince.Load()
+	if stoppingSince == nil {
+		return false
+	}
+	return req.route.Kind == route.Streaming || req.deadline.After(r.interruptsAt(*stoppingSince))
+}
+
 // startupRetryAfter returns when a caller may retry at a deployment that is starting without its
 // store.
 //
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -116,6 +116,8 @@
 		st.events = eventReader{reader: bufio.NewReaderSize(current.res.Body, 512), raw: st.events.raw}
 		if !st.headerSent {
 			st.headerSent = true
+			// No other answer can be given any more.
+			st.req.disableInterrupt()
 			writeHeader(st.w, current.res)
 			// The header is sent with the first event.
 		}
--- a/internal/relay/stream_end.go
+++ b/internal/relay/stream_end.go
@@ -33,9 +33,10 @@
 }
 
 func (st *streamHandler) failureReason() string {
+	refusal := interruptedRefusal(st.ctx)
 	switch {
-	case st.ctx.Err() != nil:
-		return codeTimeout
+	case refusal != nil:
+		return refusal.Code
 	case st.failure != nil:
 		return st.failure.Code
 	}
@@ -44,6 +45,7 @@
 
 // refusal returns the response to a stream of which nothing was sent.
 func (st *streamHandler) refusal() *Refusal {
+	interrupted := interruptedRefusal(st.ctx)
 	switch {
 	case st.backoffRefusal != nil:
 		return st.backoffRefusal
@@ -51,8 +53,8 @@
 		return notRunRefusal(codeTargetsRefuse, jitter(allRefusedRetryAfter))
 	case st.acceptedCount == 0:
 		return notRunRefusal(codeNoTarget, jitter(unavailableRetryAfter))
-	case st.ctx.Err() != nil:
-		return timeoutRefusal()
+	case interrupted != nil:
+		return interrupted
 	}
 	return &Refusal{Status: http.StatusBadGateway, Code: codeTargetLost, Outcome: generation.Unknown}
 }
