--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -141,7 +141,15 @@
 // writeEvents writes the header of a stream and events first to last; complete adds the end of the
 // stream.
 func writeEvents(c net.Conn, r *http.Request, first, last int, complete bool) {
+	writeStreamHeader(c, r)
+	writeStreamEvents(c, first, last, complete)
+}
+
+func writeStreamHeader(c net.Conn, r *http.Request) {
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+}
+
+func writeStreamEvents(c net.Conn, first, last int, complete bool) {
 	for n := first; n <= last; n++ {
 		ev := eventText(n)
 		fmt.Fprintf(c, "%x\r\n%s\r\n", len(ev), ev)
--- /dev/null
+++ b/internal/relay/silence_test.go
@@ -0,0 +1,182 @@
+package relay
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bambooferry.example/bambooferry/internal/gossip"
+)
+
+// engineSilence is how long a sound engine falls silent.
+const engineSilence = 1200 * time.Millisecond
+
+// silentRun is a run at an engine that falls silent once and goes on.
+type silentRun struct {
+	name string
+	// events is the number of events before the silence; -1 means that not even the header is sent.
+	events  int
+	silence time.Duration
+}
+
+var silentRuns = []silentRun{
+	{"before_the_header", -1, engineSilence},
+	{"before_the_first_event", 0, engineSilence},
+	{"between_events", 4, engineSilence},
+	{"long_before_the_header", -1, firstEventTimeout + 500*time.Millisecond},
+	{"long_before_the_first_event", 0, firstEventTimeout + 500*time.Millisecond},
+}
+
+// write writes a stream from event first to event last.
+func (s silentRun) write(c net.Conn, r *http.Request, first, last int) bool {
+	if s.events < 0 {
+		time.Sleep(s.silence)
+	}
+	writeStreamHeader(c, r)
+	resumeAt := first + max(s.events, 0)
+	writeStreamEvents(c, first, resumeAt-1, false)
+	if s.events >= 0 {
+		time.Sleep(s.silence)
+	}
+	writeStreamEvents(c, resumeAt, last, true)
+	return true
+}
+
+// setRetryBudget replaces the slack and ratio of the pool's retry budget.
+func (r *testRelay) setRetryBudget(ratio, slack float64) {
+	p := r.relay.Targets.pool("p")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retryBudget.Ratio, p.retryBudget.Slack = ratio, slack
+}
+
+// Guards against cutting a stream for its engine's silence although no other attempt can replace it.
+func TestSilentStreamWithoutReplacementGoesOn(t *testing.T) {
+	refuse := func(c net.Conn, r *http.Request) bool { return writeResponse(c, r, 503, "", "Not-Run: 1") }
+	for _, c := range []struct {
+		name, path string
+		// lostRuns is the number of runs that are lost after one event each, before the silent one.
+		lostRuns    int
+		oneTarget   bool
+		emptyBudget bool
+	}{
+		{name: "no_rerun", path: "/once/1"},
+		{name: "attempts_used", path: "/draft/1", lostRuns: 4},
+		{name: "no_other_target", path: "/draft/1", oneTarget: true},
+		{name: "retry_budget_empty", path: "/draft/1", emptyBudget: true},
+	} {
+		for _, silent := range silentRuns {
+			t.Run(c.name+"/"+silent.name, func(t *testing.T) {
+				t.Parallel()
+				var runs atomic.Int32
+				handle := func(conn net.Conn, r *http.Request, _ string) bool {
+					first := 1
+					if after, err := strconv.Atoi(r.Header.Get("After")); err == nil {
+						first = after + 1
+					}
+					switch n := int(runs.Add(1)); {
+					case n <= c.lostRuns:
+						writeEvents(conn, r, first, first, false)
+						return false
+					case n == c.lostRuns+1:
+						return silent.write(conn, r, first, 9)
+					default:
+						return refuse(conn, r)
+					}
+				}
+				stubs := []*engineStub{startStub(t, "e1", handle)}
+				if !c.oneTarget {
+					stubs = append(stubs, startStub(t, "e2", handle), startStub(t, "e3", handle))
+				}
+				tr := startRelay(t, stubs...)
+				if c.emptyBudget {
+					tr.setRetryBudget(0, 0)
+				}
+				got := tr.request("POST", c.path, "prompt", "Patience", "9s")
+				require.NoError(t, got.err)
+				require.Equal(t, 200, got.status)
+				require.Equal(t, eventsText(1, 9), got.body)
+				require.EqualValues(t, c.lostRuns+1, runs.Load(), "no engine may get the request while the silent one can't be replaced")
+			})
+		}
+	}
+}
+
+// Guards against cutting a stream because other instances lost its engine, although no other attempt can replace it.
+func TestReportedTargetWithoutReplacementGoesOn(t *testing.T) {
+	for _, c := range []struct {
+		name, path  string
+		emptyBudget bool
+	}{
+		{name: "no_rerun", path: "/once/1"},
+		{name: "retry_budget_empty", path: "/draft/1", emptyBudget: true},
+	} {
+		for _, silent := range silentRuns[:2] {
+			t.Run(c.name+"/"+silent.name, func(t *testing.T) {
+				t.Parallel()
+				var runs atomic.Int32
+				started := make(chan struct{}, 1)
+				handle := func(conn net.Conn, r *http.Request, _ string) bool {
+					if runs.Add(1) > 1 {
+						return writeResponse(conn, r, 503, "", "Not-Run: 1")
+					}
+					started <- struct{}{}
+					return silent.write(conn, r, 1, 9)
+				}
+				tr := startRelay(t, startStub(t, "e1", handle), startStub(t, "e2", handle))
+				if c.emptyBudget {
+					tr.setRetryBudget(0, 0)
+				}
+				responses := make(chan callerResponse, 1)
+				go func() { responses <- tr.request("POST", c.path, "prompt") }()
+				<-started
+				time.Sleep(100 * time.Millisecond)
+				for _, instance := range []string{"i2", "i3"} {
+					tr.relay.Targets.ApplyRemoteProgress(time.Now(), instance, gossip.Progress{SilentTargets: []string{"e1", "e2"}})
+				}
+				got := <-responses
+				require.NoError(t, got.err)
+				require.Equal(t, 200, got.status)
+				require.Equal(t, eventsText(1, 9), got.body)
+				require.EqualValues(t, 1, runs.Load())
+			})
+		}
+	}
+}
+
+// Guards against a second run, and against the statement that none has begun, after an engine that never sent a header.
+func TestRunWithoutHeaderCounts(t *testing.T) {
+	for _, c := range []struct {
+		name, path  string
+		emptyBudget bool
+	}{
+		{name: "no_rerun", path: "/once/1"},
+		{name: "retry_budget_empty", path: "/draft/1", emptyBudget: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var runs atomic.Int32
+			handle := func(conn net.Conn, r *http.Request, _ string) bool {
+				if runs.Add(1) > 1 {
+					writeEvents(conn, r, 1, 9, true)
+					return true
+				}
+				time.Sleep(8 * time.Second)
+				return false
+			}
+			tr := startRelay(t, startStub(t, "e1", handle), startStub(t, "e2", handle))
+			if c.emptyBudget {
+				tr.setRetryBudget(0, 0)
+			}
+			got := tr.request("POST", c.path, "prompt", "Patience", "7s")
+			require.NoError(t, got.err)
+			require.EqualValues(t, 1, runs.Load())
+			require.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, got.status)
+		})
+	}
+}
