Count a run whose engine never sent a header

Callers of a stream that may run once could have it run at two engines. Callers of a resumable one could get a 503, which states that it has not run, while an engine had it.

Cause: an attempt that is cancelled for silence before its header ends inside the read, and the code behind the read, which counts the target as one that may run the request, returned early.

Change: the cancelled attempt is counted where it is cancelled, if bytes of the request were sent and no header came. Refusals and unreachable targets are not counted, as before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -188,6 +188,9 @@
 	})
 }
 
+// isUnanswered reports whether the target may have begun to run the request without having sent a response header.
+func (a *attempt) isUnanswered() bool { return a.sent && a.res == nil }
+
 func (a *attempt) status() int {
 	if a.res == nil {
 		return 0
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -52,7 +52,7 @@
 	idOffsetKnown bool
 	// backupEngine is the engine that holds a copy of the run's KV cache.
 	backupEngine netip.AddrPort
-	// acceptedCount is the number of targets that accepted the stream.
+	// acceptedCount is the number of targets that accepted the stream or may have.
 	acceptedCount int
 	refusals      int
 	failure       *generation.Failure
@@ -147,6 +147,9 @@
 				st.plannedAttempt = nil
 			}
 			if st.currentAttempt != nil && st.currentAttempt.number == action.Attempt {
+				if st.currentAttempt.isUnanswered() {
+					st.acceptedCount++
+				}
 				st.currentAttempt.wentSilent = action.Reason == generation.SilentAgain && !st.currentAttempt.firstEventAt.IsZero()
 				st.endAttempt(engine.RequestResult{Unreachable: action.Reason == generation.SilentAgain, Cancelled: action.Reason != generation.SilentAgain}, false, action.Reason)
 			}
