Keep a silent attempt of a stream until its replacement is certain

Cause: the silent attempt was cancelled first. Only then came the question whether another attempt may follow (a route without reruns, maxAttempts, a request that crashes engines, the retry budget) and whether there is a target for it; the same engine was a target, too.

Change: an exclusive generation.Stream asks its owner for a reservation before it cancels a silent attempt. The relay reserves a target and a retry of the budget, and the attempt that begins uses them; it begins at once, without the backoff of repeated attempts. The silent target itself, and targets that back off or were lost in the last 2 s here or by two other instances, do not count as a target for this. If the reservation is denied, the stream goes on waiting until its deadline, and asks again every 250 ms. The first denial of each silence is logged as attempt_silent.

Why it works: nothing is cancelled that can't be replaced, and still only one attempt is open, since the former one is cancelled before the reserved one is sent. A lost connection (reset, end, refused) takes the same way as before.

In pkg/generation the same is tested without connections.

Ruled out: that the relay takes the time in which its own process was stopped for silence of an engine that goes on meanwhile. A resumable stream whose engine is silent as well does go on at another engine then, as before; it loses no event.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -39,6 +39,8 @@
 	startedAt   time.Time
 	// wentSilent is set when the target was lost without any data or reset from it.
 	wentSilent bool
+	// silenceLogged is set when the silence of the target has been logged.
+	silenceLogged bool
 	// sent is set when bytes of the request may have reached the target.
 	sent bool
 	info ResponseInfo
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -18,6 +20,7 @@
 
 	"bambooferry.example/bambooferry/pkg/blackboard"
 	"bambooferry.example/bambooferry/pkg/route"
+	"bambooferry.example/bambooferry/pkg/timeline"
 )
 
 // testCodec uses short header names of its own.
@@ -177,6 +180,35 @@
 	readinessAddress string
 	stop             context.CancelFunc
 	done             chan error
+	log              *eventLog
+}
+
+// eventLog keeps the lines of a relay's log.
+type eventLog struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+func (l *eventLog) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lines.Write(b)
+}
+
+// reasons returns the reasons of the logged events of a kind.
+func (l *eventLog) reasons(t *testing.T, kind string) []string {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []string
+	for line := range strings.Lines(l.lines.String()) {
+		var ev struct{ Kind, Why string }
+		require.NoError(t, json.Unmarshal([]byte(line), &ev))
+		if ev.Kind == kind {
+			list = append(list, ev.Why)
+		}
+	}
+	return list
 }
 
 var testRoutes = []route.Route{
@@ -208,8 +240,8 @@
 	}
 	targets.Update(time.Now(), table, map[string][]route.Target{"p": list})
 	TableKey.Put(board, table)
-	tr := &testRelay{t: t, callerAddress: callerListener.Addr().String(), readinessAddress: readinessListener.Addr().String(), done: make(chan error, 1)}
-	tr.relay = &Relay{DataCentre: "a", CallerListener: callerListener, ReadinessListener: readinessListener, Codec: testCodec{}, Board: board, Targets: targets, Crashes: &CrashTracker{}, GracePeriod: 4 * time.Second, DeregistrationDelay: 100 * time.Millisecond}
+	tr := &testRelay{t: t, callerAddress: callerListener.Addr().String(), readinessAddress: readinessListener.Addr().String(), done: make(chan error, 1), log: &eventLog{}}
+	tr.relay = &Relay{DataCentre: "a", CallerListener: callerListener, ReadinessListener: readinessListener, Codec: testCodec{}, Board: board, Targets: targets, Crashes: &CrashTracker{}, Log: &timeline.Writer{Out: tr.log, Instance: "i1", Clock: &timeline.Clock{}}, GracePeriod: 4 * time.Second, DeregistrationDelay: 100 * time.Millisecond}
 	ctx, stop := context.WithCancel(context.Background())
 	tr.stop = stop
 	go func() { tr.done <- tr.relay.Run(ctx) }()
--- a/internal/relay/losses.go
+++ b/internal/relay/losses.go
@@ -141,6 +141,21 @@
 	return n >= minReporters || l.mostOfDataCentreSilent(now, dataCentreOf(id), since, dataCentreOf, size)
 }
 
+// lostRecently reports whether a target was lost within lossWindow by this instance, or by several
+// others.
+func (l *lossTracker) lostRecently(now time.Time, id string) bool {
+	if at, ok := l.local[id]; ok && now.Sub(at) <= lossWindow {
+		return true
+	}
+	n := 0
+	for _, at := range l.reported[id] {
+		if now.Sub(at) <= lossWindow {
+			n++
+		}
+	}
+	return n >= minReporters
+}
+
 // mostOfDataCentreSilent reports whether at least half of a data centre's targets went silent after
 // a time, as observed by at least minReporters instances together.
 func (l *lossTracker) mostOfDataCentreSilent(now time.Time, dc string, since time.Time, dataCentreOf func(id string) string, size int) bool {
--- /dev/null
+++ b/internal/relay/replacement.go
@@ -0,0 +1,92 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"bambooferry.example/bambooferry/pkg/route"
+	"bambooferry.example/bambooferry/pkg/timeline"
+)
+
+// The reasons why a silent attempt is not replaced.
+const (
+	denialNoRerun      = "no_rerun"
+	denialAttemptsUsed = "attempts_used"
+	denialRetryBudget  = "retry_budget"
+	denialNoTarget     = "no_target"
+)
+
+// reservation is the target of an attempt that may begin.
+type reservation struct {
+	target route.Target
+	load   float64
+}
+
+// reserveReplacement reserves a target and a retry for the attempt that is to replace the open one.
+func (st *streamHandler) reserveReplacement(now time.Time, avoid []string) bool {
+	current := st.currentAttempt
+	if current == nil {
+		return false
+	}
+	denial := st.replacementDenial(now, current, avoid)
+	if denial == "" {
+		return true
+	}
+	if !current.silenceLogged {
+		current.silenceLogged = true
+		st.logSilence(now, current, denial)
+	}
+	return false
+}
+
+// replacementDenial makes the reservation, or returns why none is possible.
+func (st *streamHandler) replacementDenial(now time.Time, current *attempt, avoid []string) string {
+	runs := st.acceptedCount
+	if current.isUnanswered() {
+		runs++
+	}
+	if denial := st.rerunDenial(now, runs); denial != "" {
+		return denial
+	}
+	chosen := st.chooseTarget(now, targetCriteria{avoidTargets: append(slices.Clone(avoid), current.target.ID), silentTarget: current.target.ID})
+	switch {
+	case chosen == nil:
+		return denialNoTarget
+	case !st.req.pool.allowRetry(now):
+		return denialRetryBudget
+	}
+	st.reserved = chosen
+	return ""
+}
+
+// rerunDenial returns why the stream may not run again after a number of runs, or an empty string.
+func (st *streamHandler) rerunDenial(now time.Time, runs int) string {
+	switch {
+	case runs > 0 && !st.req.route.AllowsRerun():
+		return denialNoRerun
+	case runs > 0 && runs >= st.req.route.MaxAttempts:
+		return denialAttemptsUsed
+	case st.relay.Crashes.isMarked(now, st.req):
+		return codeCrashes
+	}
+	return ""
+}
+
+// takeReservation returns the reservation for the attempt that begins, or nil.
+func (st *streamHandler) takeReservation() *reservation {
+	reserved := st.reserved
+	st.reserved = nil
+	return reserved
+}
+
+// logSilence logs that the stream goes on waiting for a silent target.
+func (st *streamHandler) logSilence(now time.Time, current *attempt, denial string) {
+	st.relay.Log.Write(now, timeline.Event{
+		Kind: "attempt_silent", Request: st.req.ID, Target: current.target.ID, Attempt: current.number, Decision: "wait", Why: denial, Entry: st.req.route.Name,
+		Inputs: []timeline.Input{
+			{Name: "silent_ms", Value: now.Sub(current.conn.lastReadAt).Milliseconds()},
+			{Name: "left_ms", Value: st.req.deadline.Sub(now).Milliseconds()},
+			{Name: "events", Value: int64(st.gen.Position)},
+		},
+	})
+}
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -11,6 +11,8 @@
 	"github.com/stretchr/testify/require"
 
 	"bambooferry.example/bambooferry/internal/gossip"
+	"bambooferry.example/bambooferry/pkg/engine"
+	"bambooferry.example/bambooferry/pkg/route"
 )
 
 // engineSilence is how long a sound engine falls silent.
@@ -180,3 +182,151 @@
 		})
 	}
 }
+
+// Guards against a stream that waits for a silent engine although it could go on at another one by now.
+func TestSilentEngineIsReplacedOncePossible(t *testing.T) {
+	const denied = 800 * time.Millisecond
+	for _, name := range []string{"retry_budget", "no_target"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			silentSince := make(chan struct{})
+			closed := make(chan struct{})
+			silent := startStub(t, "e1", func(conn net.Conn, r *http.Request, _ string) bool {
+				writeEvents(conn, r, 1, 4, false)
+				close(silentSince)
+				_, _ = conn.Read(make([]byte, 1))
+				close(closed)
+				return false
+			})
+			other := startStub(t, "e2", func(conn net.Conn, r *http.Request, _ string) bool {
+				select {
+				case <-closed:
+				case <-time.After(400 * time.Millisecond):
+					return false
+				}
+				after, _ := strconv.Atoi(r.Header.Get("After"))
+				writeEvents(conn, r, after+1, 9, true)
+				return true
+			})
+			tr := startRelay(t, silent)
+			table := testRelayTable()
+			list := []route.Target{{ID: "e1", Pool: "p", Address: silent.address, DataCentre: "a", Slots: 8}}
+			addOther := func() {
+				list = append(list, route.Target{ID: "e2", Pool: "p", Address: other.address, DataCentre: "b", Slots: 8})
+				tr.relay.Targets.Update(time.Now(), table, map[string][]route.Target{"p": list})
+			}
+			responses := make(chan callerResponse, 1)
+			if name == "retry_budget" {
+				tr.setRetryBudget(0, 0)
+			}
+			go func() { responses <- tr.request("POST", "/draft/1", "prompt") }()
+			<-silentSince
+			if name == "retry_budget" {
+				addOther()
+			}
+			time.Sleep(denied)
+			require.Empty(t, other.seenRequests())
+			changedAt := time.Now()
+			if name == "retry_budget" {
+				tr.setRetryBudget(0.5, 20)
+			} else {
+				addOther()
+			}
+			got := <-responses
+			require.NoError(t, got.err)
+			require.Equal(t, eventsText(1, 9), got.body)
+			require.Less(t, time.Since(changedAt), time.Second)
+			require.Equal(t, []string{name}, tr.log.reasons(t, "attempt_silent"))
+		})
+	}
+}
+
+// Guards against a log that does not tell why a stream waits, or repeats it at each check.
+func TestSilenceWithoutReplacementIsLoggedOnce(t *testing.T) {
+	for _, c := range []struct {
+		denial, path string
+		lostRuns     int
+		targets      int
+		emptyBudget  bool
+		crashes      bool
+	}{
+		{denial: "no_rerun", path: "/once/1", targets: 3},
+		{denial: "attempts_used", path: "/draft/1", lostRuns: 4, targets: 3},
+		{denial: "no_target", path: "/draft/1", targets: 1},
+		{denial: "retry_budget", path: "/draft/1", targets: 3, emptyBudget: true},
+		{denial: codeCrashes, path: "/draft/1", targets: 3, crashes: true},
+	} {
+		t.Run(c.denial, func(t *testing.T) {
+			t.Parallel()
+			var runs atomic.Int32
+			started := make(chan struct{}, 9)
+			handle := func(conn net.Conn, r *http.Request, _ string) bool {
+				n := int(runs.Add(1))
+				writeStreamHeader(conn, r)
+				writeStreamEvents(conn, n, n, false)
+				started <- struct{}{}
+				if n <= c.lostRuns {
+					return false
+				}
+				for ev := n + 1; ev <= n+2; ev++ {
+					time.Sleep(engineSilence)
+					writeStreamEvents(conn, ev, ev, ev == n+2)
+				}
+				return true
+			}
+			var stubs []*engineStub
+			for i := range c.targets {
+				stubs = append(stubs, startStub(t, "e"+strconv.Itoa(i+1), handle))
+			}
+			tr := startRelay(t, stubs...)
+			if c.emptyBudget {
+				tr.setRetryBudget(0, 0)
+			}
+			responses := make(chan callerResponse, 1)
+			go func() { responses <- tr.request("POST", c.path, "prompt", "Patience", "9s") }()
+			if c.crashes {
+				<-started
+				digest := (&callerRequest{RequestInfo: RequestInfo{APIKey: "k"}, http: &http.Request{Host: "h.example", Method: "POST", RequestURI: c.path}, body: []byte("prompt")}).digest()
+				for i := range 3 {
+					at := time.Now().Add(time.Duration(i) * time.Millisecond)
+					tr.relay.Crashes.recordCrash(at, at, digest)
+				}
+			}
+			got := <-responses
+			require.NoError(t, got.err)
+			require.Equal(t, eventsText(1, c.lostRuns+3), got.body)
+			require.Equal(t, []string{c.denial, c.denial}, tr.log.reasons(t, "attempt_silent"))
+		})
+	}
+}
+
+// Guards against giving up a silent engine for one that is not expected to accept the request.
+func TestSilentEngineIsNotReplacedByADoubtfulOne(t *testing.T) {
+	for name, disturb := range map[string]func(tr *testRelay){
+		"lost here": func(tr *testRelay) {
+			p := tr.relay.Targets.pool("p")
+			p.recordEnded(time.Now(), route.Target{ID: "e2"}, engine.RequestResult{Unreachable: true}, true, 0)
+		},
+		"lost by others": func(tr *testRelay) {
+			for _, instance := range []string{"i2", "i3"} {
+				tr.relay.Targets.ApplyRemoteProgress(time.Now(), instance, gossip.Progress{SilentTargets: []string{"e2"}})
+			}
+		},
+		"backs off": func(tr *testRelay) {
+			tr.relay.Targets.ApplyRemoteProgress(time.Now(), "i2", gossip.Progress{BackoffMillis: map[string]int64{"e2": 5000}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tr := startRelay(t,
+				startStub(t, "e1", func(conn net.Conn, r *http.Request, _ string) bool { return silentRuns[2].write(conn, r, 1, 9) }),
+				startStub(t, "e2", func(conn net.Conn, r *http.Request, _ string) bool {
+					return writeResponse(conn, r, 503, "", "Not-Run: 1")
+				}))
+			disturb(tr)
+			got := tr.request("POST", "/draft/1", "prompt")
+			require.NoError(t, got.err)
+			require.Equal(t, eventsText(1, 9), got.body)
+		})
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -44,8 +44,10 @@
 	// plannedAttempt is the next attempt to start, currentAttempt the open one; both may be nil.
 	plannedAttempt *generation.Action
 	currentAttempt *attempt
-	events         eventReader
-	headerSent     bool
+	// reserved is what the planned attempt uses, if it replaces a silent one.
+	reserved   *reservation
+	events     eventReader
+	headerSent bool
 	// idOffset is added to a position to give the event's id.
 	idOffset uint64
 	// idOffsetKnown is set once the first event's id is known.
@@ -81,6 +83,7 @@
 			Seed: xxhash.Sum64String(req.ID), Timeouts: req.pool.silenceTimeouts(defaultSilenceTimeouts),
 		},
 	}
+	st.gen.ReserveReplacement = st.reserveReplacement
 	if req.Resuming {
 		st.idOffset, st.idOffsetKnown = req.LastEventID+1, true
 	}
@@ -238,7 +241,7 @@
 	if !st.idOffsetKnown {
 		st.idOffset, st.idOffsetKnown = id, true
 	}
-	current.lastEventAt = now
+	current.lastEventAt, current.silenceLogged = now, false
 	current.eventCount++
 	if current.firstEventAt.IsZero() {
 		current.firstEventAt = now
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -17,12 +17,15 @@
 	action := st.plannedAttempt
 	st.plannedAttempt = nil
 	now := time.Now()
-	if st.mustNotRetry(action) {
+	chosen := st.takeReservation()
+	if chosen == nil && st.mustNotRetry(now, action) {
 		st.aborted = true
 		return
 	}
-	t, load, ok := st.chooseTarget(now, action)
-	if !ok {
+	if chosen == nil {
+		chosen = st.chooseTarget(now, targetCriteria{avoidTargets: action.Avoid, firstAttempt: action.Attempt == 1 && !st.req.Resuming})
+	}
+	if chosen == nil {
 		if st.acceptedCount == 0 {
 			if st.backoffRefusal = st.req.backoffRefusal(now); st.backoffRefusal != nil {
 				st.aborted = true
@@ -32,6 +35,7 @@
 		st.handleEvent(generation.Event{Kind: generation.NoTarget, Attempt: action.Attempt})
 		return
 	}
+	t := chosen.target
 	info := AttemptInfo{Urgency: urgencyOf(st.req, st.gen.Position > 0), HasUrgency: true, RequestID: st.req.ID}
 	if nextEventID := st.idOffset + st.gen.Position; nextEventID > 0 && (st.gen.Position > 0 || st.req.Resuming) {
 		info.Resuming, info.LastEventID = true, nextEventID-1
@@ -44,33 +48,34 @@
 	if b, ok := st.chooseBackup(now, t); ok {
 		info.BackupEngine = b.Address
 	}
-	current := st.relay.newAttempt(now, st.req, t, action.Attempt, reason, load)
+	current := st.relay.newAttempt(now, st.req, t, action.Attempt, reason, chosen.load)
 	st.currentAttempt = current
 	st.gen.Timeouts = st.silenceTimeouts()
 	st.openAttempt(current, info)
 }
 
 // mustNotRetry reports whether no further attempt may be made.
-func (st *streamHandler) mustNotRetry(action *generation.Action) bool {
+func (st *streamHandler) mustNotRetry(now time.Time, action *generation.Action) bool {
 	if action.Attempt == 1 {
 		return false
 	}
-	if st.acceptedCount > 0 && (!st.req.route.AllowsRerun() || st.acceptedCount >= st.req.route.MaxAttempts) {
-		return true
-	}
-	now := time.Now()
-	return st.relay.Crashes.isMarked(now, st.req) || !st.req.pool.allowRetry(now)
+	return st.rerunDenial(now, st.acceptedCount) != "" || !st.req.pool.allowRetry(now)
 }
 
-// chooseTarget returns a target, if possible the engine that holds a copy of the run's KV cache.
-func (st *streamHandler) chooseTarget(now time.Time, action *generation.Action) (route.Target, float64, bool) {
-	criteria := targetCriteria{avoidTargets: action.Avoid, requestID: st.req.ID, firstAttempt: action.Attempt == 1 && !st.req.Resuming}
+// chooseTarget returns a target, if possible the engine that holds a copy of the run's KV cache, or
+// nil if there is none.
+func (st *streamHandler) chooseTarget(now time.Time, criteria targetCriteria) *reservation {
+	criteria.requestID = st.req.ID
 	if st.backupEngine.IsValid() && st.gen.Position > 0 {
 		if t, ok := st.req.pool.targetAt(now, st.backupEngine); ok {
 			criteria.preferredTarget = t.ID
 		}
 	}
-	return st.req.pool.chooseTarget(now, st.relay.DataCentre, criteria)
+	t, load, ok := st.req.pool.chooseTarget(now, st.relay.DataCentre, criteria)
+	if !ok {
+		return nil
+	}
+	return &reservation{target: t, load: load}
 }
 
 // chooseBackup returns the engine that is to receive copies, in another data centre if there is
@@ -111,6 +116,7 @@
 		if st.handleFailedResponse(current, &ev) {
 			break
 		}
+		current.silenceLogged = false
 		ev.Kind, ev.Timeouts = generation.Accepted, st.silenceTimeouts()
 		st.backupEngine = info.BackupEngine
 		st.events = eventReader{reader: bufio.NewReaderSize(current.res.Body, 512), raw: st.events.raw}
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -213,6 +213,9 @@
 // targetCriteria restricts the choice of a target.
 type targetCriteria struct {
 	avoidTargets []string
+	// silentTarget is the target that is to be replaced only if another one is expected to accept
+	// the request, or empty.
+	silentTarget string
 	// preferredTarget is chosen if it is open to new requests.
 	preferredTarget string
 	// avoidDataCentre is a data centre that is chosen only if there is no other, or empty.
@@ -243,13 +246,23 @@
 		func(t *route.Target) bool { return !slices.Contains(criteria.avoidTargets, t.ID) },
 		func(*route.Target) bool { return len(criteria.avoidTargets) > 0 },
 	} {
-		if c, ok := p.enginePool.ChooseCandidate(now, p.openTargets(now, dataCentre, p.withVersion(now, criteria, passes)), nil, nil); ok {
+		if c, ok := p.enginePool.ChooseCandidate(now, p.openTargets(now, dataCentre, p.withVersion(now, criteria, p.replacing(now, criteria.silentTarget, passes))), nil, nil); ok {
 			return p.findTarget(c.Name), c.Load, true
 		}
 	}
 	return route.Target{}, 0, false
 }
 
+// replacing restricts a filter to the targets that may replace a silent one; the caller holds mu.
+func (p *pool) replacing(now time.Time, silentTarget string, passes func(t *route.Target) bool) func(t *route.Target) bool {
+	if silentTarget == "" {
+		return passes
+	}
+	return func(t *route.Target) bool {
+		return t.ID != silentTarget && !p.availability.BacksOffElsewhere(now, t.ID) && !p.losses.lostRecently(now, t.ID) && passes(t)
+	}
+}
+
 // openTargets returns the targets that accept new requests and pass a filter.
 func (p *pool) openTargets(now time.Time, dataCentre string, passes func(t *route.Target) bool) []engine.AvailableTarget {
 	var list []engine.AvailableTarget
--- a/pkg/generation/attempt.go
+++ b/pkg/generation/attempt.go
@@ -28,17 +28,23 @@
 	skipGap     bool
 	lastHeardAt time.Time
 	timeouts    Timeouts
+	// nextReservationAt is when a replacement that was denied is asked for again.
+	nextReservationAt time.Time
 }
 
+// silentAt returns when the attempt is to be treated as silent.
 func (a *attempt) silentAt() time.Time {
+	timeout := a.timeouts.NextToken
 	switch {
 	case !a.accepted:
-		return a.lastHeardAt.Add(a.timeouts.Accept)
+		timeout = a.timeouts.Accept
 	case !a.producedToken && !a.pastFirstToken:
-		return a.lastHeardAt.Add(a.timeouts.FirstToken)
-	default:
-		return a.lastHeardAt.Add(a.timeouts.NextToken)
+		timeout = a.timeouts.FirstToken
 	}
+	if t := a.lastHeardAt.Add(timeout); t.After(a.nextReservationAt) {
+		return t
+	}
+	return a.nextReservationAt
 }
 
 func (s *Stream) beginAttempt(now time.Time, mode AttemptMode, target, reason string) {
--- a/pkg/generation/exclusive_test.go
+++ b/pkg/generation/exclusive_test.go
@@ -48,3 +48,81 @@
 	got := step(s, 8*time.Second, Event{Kind: Ticked})
 	require.Equal(t, Fail, got[len(got)-1].Kind)
 }
+
+// Guards against ending a silent attempt, or asking for its replacement all the time, while it can't be replaced.
+func TestExclusiveStreamKeepsASilentAttemptWithoutReplacement(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// before are the events after which the attempt is silent, from silentAt on.
+		before   []Event
+		silentAt time.Duration
+	}{
+		{"not accepted", nil, 250 * time.Millisecond},
+		{"no token", []Event{{Kind: Accepted, Attempt: 1, Target: "engine-a"}}, time.Second},
+		{"after a token", []Event{{Kind: Accepted, Attempt: 1, Target: "engine-a"}, {Kind: TokenReceived, Attempt: 1, Text: "a"}}, 400 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := testStream()
+			s.Exclusive, s.AcceptWait = true, 10*time.Second
+			asked, allowed := 0, false
+			s.ReserveReplacement = func(time.Time, []string) bool {
+				asked++
+				return allowed
+			}
+			step(s, 0, Event{Kind: Started})
+			for _, ev := range c.before {
+				step(s, 0, ev)
+			}
+			require.Equal(t, t0.Add(c.silentAt), s.NextTick())
+			now := c.silentAt
+			for ; now < 8*time.Second; now = s.NextTick().Sub(t0) {
+				require.Empty(t, step(s, now, Event{Kind: Ticked}))
+				require.Empty(t, step(s, now, Event{Kind: Ticked}), "a second check at the same time must not ask again")
+			}
+			require.LessOrEqual(t, asked, 32)
+			require.GreaterOrEqual(t, asked, 28)
+			allowed = true
+			got := step(s, now, Event{Kind: Ticked})
+			require.Len(t, got, 2)
+			require.Equal(t, Cancel, got[0].Kind, "the silent attempt must be stopped first")
+			require.Equal(t, Begin, got[1].Kind)
+		})
+	}
+}
+
+// Guards against dropping what a silent engine sends when it goes on.
+func TestExclusiveStreamGoesOnAfterASilenceWithoutReplacement(t *testing.T) {
+	s := exclusiveStream(t)
+	s.ReserveReplacement = func(time.Time, []string) bool { return false }
+	require.Empty(t, step(s, 400*time.Millisecond, Event{Kind: Ticked}))
+	got := step(s, 1200*time.Millisecond, Event{Kind: TokenReceived, Attempt: 1, Position: 1, Text: "b"})
+	require.Len(t, got, 1)
+	require.Equal(t, Deliver, got[0].Kind)
+	require.Equal(t, t0.Add(1600*time.Millisecond), s.NextTick(), "the next silence must be noticed as before")
+}
+
+// Guards against a delay between the end of a silent attempt and the attempt that was reserved.
+func TestReservedReplacementBeginsAtOnce(t *testing.T) {
+	s := exclusiveStream(t)
+	s.ReserveReplacement = func(time.Time, []string) bool { return true }
+	now := 400 * time.Millisecond
+	for n := range immediateAttempts + 3 {
+		got := step(s, now, Event{Kind: Ticked})
+		require.Len(t, got, 2)
+		require.Equal(t, Cancel, got[0].Kind)
+		require.Equal(t, Begin, got[1].Kind)
+		require.Equal(t, n+2, got[1].Attempt)
+		now = s.NextTick().Sub(t0)
+	}
+}
+
+// Guards against a lost connection that is not replaced because its engine was silent before.
+func TestSilentAttemptThatIsLostIsReplaced(t *testing.T) {
+	s := exclusiveStream(t)
+	s.ReserveReplacement = func(time.Time, []string) bool { return false }
+	require.Empty(t, step(s, 400*time.Millisecond, Event{Kind: Ticked}))
+	got := step(s, 500*time.Millisecond, Event{Kind: ConnectionLost, Attempt: 1, Target: "engine-a"})
+	require.Len(t, got, 1)
+	require.Equal(t, Begin, got[0].Kind)
+	require.Equal(t, "target_lost", got[0].Reason)
+}
--- a/pkg/generation/loss.go
+++ b/pkg/generation/loss.go
@@ -21,6 +21,8 @@
 	// defaultAcceptWait bounds the wait for a target to accept a request at all. No output is lost
 	// at that point, and the caller should rather ask another instance.
 	defaultAcceptWait = 3 * time.Second
+	// reservationInterval is the time until a replacement that was denied is asked for again.
+	reservationInterval = 250 * time.Millisecond
 )
 
 // replaceFaulty replaces an attempt whose output has unexpected positions.
@@ -161,11 +163,7 @@
 // new one. A target that does not even accept a request is abandoned.
 func (s *Stream) handleSilence(now time.Time, a *attempt) {
 	if s.Exclusive {
-		s.removeAttempt(a)
-		s.endAttempt(a, SilentAgain, nil)
-		s.maybeAccepted = true
-		s.avoidTarget(a.target)
-		s.beginOrPostpone(now, SilentAgain)
+		s.replaceSilent(now, a)
 		return
 	}
 	if s.hasActiveAttempt(a) {
@@ -180,6 +178,26 @@
 	s.beginOrPostpone(now, SilentAgain)
 }
 
+// replaceSilent replaces the silent attempt of an Exclusive stream.
+//
+// Its target may only have paused, so the attempt is kept unless another one can begin at once.
+func (s *Stream) replaceSilent(now time.Time, a *attempt) {
+	reserves := s.ReserveReplacement != nil
+	if reserves && !s.ReserveReplacement(now, s.avoid) {
+		a.silent, a.nextReservationAt = false, now.Add(reservationInterval)
+		return
+	}
+	s.removeAttempt(a)
+	s.endAttempt(a, SilentAgain, nil)
+	s.maybeAccepted = true
+	s.avoidTarget(a.target)
+	if reserves {
+		s.beginElsewhere(now, SilentAgain)
+		return
+	}
+	s.beginOrPostpone(now, SilentAgain)
+}
+
 // giveUp ends a stream that received no token for the resume wait.
 func (s *Stream) giveUp() {
 	o := s.knownOutcome()
--- a/pkg/generation/stream.go
+++ b/pkg/generation/stream.go
@@ -29,6 +29,10 @@
 	// Exclusive is set for targets that keep no record of a generation and must not run it twice: a
 	// lost or silent attempt is cancelled before the next one, which uses another target.
 	Exclusive bool
+	// ReserveReplacement, if set, reserves all that the replacement of a silent attempt needs, which
+	// is to avoid the given targets. An Exclusive stream cancels a silent attempt only if it returns
+	// true; otherwise it goes on waiting for the attempt, and asks again.
+	ReserveReplacement func(now time.Time, avoid []string) bool
 	// AcceptWait bounds the wait for a target to accept the request; 0 means 3 s.
 	AcceptWait time.Duration
 	// Seed varies the retry times of streams that lost their engines together.
