Keep an attempt on a reported target until its replacement is certain

Cause: the read was given up as soon as the reports were seen, and the retry was decided afterwards, as it was for a silent attempt.

Change: the report is an event of the stream (Suspected), which is handled as silence is: the attempt is cancelled only once a target and a retry are reserved for the next one, and otherwise the reservation is asked for again every 250 ms. attempt_lost still names lost_by_others; so does the attempt_begun that follows, which named target_lost.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -240,5 +240,9 @@
 	return reasonConnectionLost
 }
 
-// reasonConnectionLost is the reason for an attempt whose connection was reset or closed.
-const reasonConnectionLost = "connection_lost"
+const (
+	// reasonConnectionLost is the reason for an attempt whose connection was reset or closed.
+	reasonConnectionLost = "connection_lost"
+	// reasonLostByOthers is the reason for an attempt whose target other instances have lost.
+	reasonLostByOthers = "lost_by_others"
+)
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -330,3 +330,38 @@
 		})
 	}
 }
+
+// Guards against waiting out the timeout of an engine that other instances have lost.
+func TestReportedTargetIsReplaced(t *testing.T) {
+	for _, silent := range silentRuns[3:] {
+		t.Run(silent.name, func(t *testing.T) {
+			t.Parallel()
+			var runs atomic.Int32
+			first := make(chan string, 1)
+			handleAs := func(id string) func(conn net.Conn, r *http.Request, _ string) bool {
+				return func(conn net.Conn, r *http.Request, _ string) bool {
+					if runs.Add(1) == 1 {
+						first <- id
+						return silent.write(conn, r, 1, 9)
+					}
+					writeEvents(conn, r, 1, 9, true)
+					return true
+				}
+			}
+			tr := startRelay(t, startStub(t, "e1", handleAs("e1")), startStub(t, "e2", handleAs("e2")))
+			responses := make(chan callerResponse, 1)
+			go func() { responses <- tr.request("POST", "/draft/1", "prompt") }()
+			id := <-first
+			reportedAt := time.Now()
+			for _, instance := range []string{"i2", "i3"} {
+				tr.relay.Targets.ApplyRemoteProgress(reportedAt, instance, gossip.Progress{SilentTargets: []string{id}})
+			}
+			got := <-responses
+			require.NoError(t, got.err)
+			require.Equal(t, eventsText(1, 9), got.body)
+			require.EqualValues(t, 2, runs.Load())
+			require.Less(t, time.Since(reportedAt), time.Second)
+			require.Equal(t, []string{reasonLostByOthers}, tr.log.reasons(t, "attempt_lost"))
+		})
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -58,9 +58,6 @@
 	acceptedCount int
 	refusals      int
 	failure       *generation.Failure
-	// reportedLost is set when the open attempt is abandoned because other instances lost its
-	// target.
-	reportedLost bool
 	// aborted is set when the response to the caller can't continue.
 	aborted    bool
 	lastSentAt time.Time
@@ -171,11 +168,11 @@
 	if current == nil || st.ctx.Err() != nil {
 		return time.Time{}, false
 	}
+	ev := generation.Event{Kind: generation.Ticked}
 	if current.firstEventAt.IsZero() && st.req.pool.lostSince(now, current.target.ID, current.startedAt) {
-		st.reportedLost = true
-		return time.Time{}, false
+		ev = generation.Event{Kind: generation.Suspected, Attempt: current.number, Target: current.target.ID, Reason: reasonLostByOthers}
 	}
-	st.performActions(st.gen.Step(now, generation.Event{Kind: generation.Ticked}))
+	st.performActions(st.gen.Step(now, ev))
 	if st.currentAttempt != current || st.gen.Done() {
 		return time.Time{}, false
 	}
@@ -211,27 +208,19 @@
 		}
 		return
 	}
-	st.endAttempt(st.lossResult(), false, st.lossReason(err))
+	st.endAttempt(st.lossResult(), false, lossReason(err))
 	st.performActions(st.gen.Step(now, generation.Event{Kind: generation.ConnectionLost, Attempt: current.number, Target: current.target.ID, Reason: lossReason(err)}))
 }
 
 // lossResult returns what the loss of the open attempt says about its target: nothing, if the
-// caller has disconnected or only other instances reported the loss.
+// caller has disconnected.
 func (st *streamHandler) lossResult() engine.RequestResult {
-	if st.reportedLost || st.ctx.Err() != nil {
+	if st.ctx.Err() != nil {
 		return engine.RequestResult{Cancelled: true}
 	}
 	return engine.RequestResult{Unreachable: true}
 }
 
-func (st *streamHandler) lossReason(err error) string {
-	if st.reportedLost {
-		st.reportedLost = false
-		return "lost_by_others"
-	}
-	return lossReason(err)
-}
-
 // handleTargetEvent passes one event from the target to the stream.
 func (st *streamHandler) handleTargetEvent(now time.Time, current *attempt, raw []byte, id uint64, numbered bool) {
 	if !numbered {
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -104,7 +104,7 @@
 	case err != nil:
 		st.acceptedCount++
 		ev.Kind = generation.ConnectionLost
-		st.endAttempt(st.lossResult(), false, st.lossReason(err))
+		st.endAttempt(st.lossResult(), false, lossReason(err))
 	case current.handleRefusal():
 		ev.Kind = generation.Refused
 		st.refusals++
--- a/pkg/generation/event.go
+++ b/pkg/generation/event.go
@@ -40,6 +40,8 @@
 	// Delayed reports that the process did not run when the stream was due, so that the time since
 	// then shows nothing about the targets.
 	Delayed
+	// Suspected reports that others have lost the target of an attempt of an Exclusive stream.
+	Suspected
 )
 
 // Event reports something that happened to a stream.
@@ -50,7 +52,7 @@
 	Text     string
 	// Target is the target that accepted the attempt.
 	Target string
-	// Reason is the reason of the end or of the lost connection. In a NoTarget event, VersionGone
+	// Reason is the reason of the end, of the lost connection or of the suspicion. In a NoTarget event, VersionGone
 	// means that no target of the version is left.
 	Reason string
 	// Timeouts replaces the stream's timeouts when an attempt is accepted.
--- a/pkg/generation/exclusive_test.go
+++ b/pkg/generation/exclusive_test.go
@@ -126,3 +126,33 @@
 	require.Equal(t, Begin, got[0].Kind)
 	require.Equal(t, "target_lost", got[0].Reason)
 }
+
+// Guards against ending an attempt on the word of others while it can't be replaced, and against keeping it once it can be.
+func TestSuspectedAttemptIsKeptUntilItIsReplaced(t *testing.T) {
+	s := testStream()
+	s.Exclusive, s.AcceptWait, s.Timeouts.Accept = true, 10*time.Second, 5*time.Second
+	asked, allowed := 0, false
+	s.ReserveReplacement = func(time.Time, []string) bool {
+		asked++
+		return allowed
+	}
+	suspected := Event{Kind: Suspected, Attempt: 1, Target: "engine-a", Reason: "lost_by_others"}
+	step(s, 0, Event{Kind: Started})
+	require.Empty(t, step(s, 100*time.Millisecond, suspected))
+	require.Empty(t, step(s, 200*time.Millisecond, suspected))
+	require.Equal(t, 1, asked, "the replacement must not be asked for at each report")
+	require.Equal(t, t0.Add(5*time.Second), s.NextTick())
+	allowed = true
+	got := step(s, 350*time.Millisecond, suspected)
+	require.Equal(t, []Action{
+		{Kind: Cancel, Attempt: 1, Target: "engine-a", Reason: "lost_by_others"},
+		{Kind: Begin, Attempt: 2, Avoid: []string{"engine-a"}, Reason: "lost_by_others"},
+	}, got)
+	require.Empty(t, step(s, 400*time.Millisecond, suspected), "a report on an earlier attempt says nothing about the next one")
+}
+
+// Guards against losing output that a stream with a record could still get from its engine.
+func TestSuspicionIsIgnoredWithRecords(t *testing.T) {
+	s := streamWithOneToken(t)
+	require.Empty(t, step(s, 100*time.Millisecond, Event{Kind: Suspected, Attempt: 1, Target: "engine-a", Reason: "lost_by_others"}))
+}
--- a/pkg/generation/loss.go
+++ b/pkg/generation/loss.go
@@ -163,7 +163,7 @@
 // new one. A target that does not even accept a request is abandoned.
 func (s *Stream) handleSilence(now time.Time, a *attempt) {
 	if s.Exclusive {
-		s.replaceSilent(now, a)
+		s.replaceSilent(now, a, SilentAgain)
 		return
 	}
 	if s.hasActiveAttempt(a) {
@@ -181,21 +181,33 @@
 // replaceSilent replaces the silent attempt of an Exclusive stream.
 //
 // Its target may only have paused, so the attempt is kept unless another one can begin at once.
-func (s *Stream) replaceSilent(now time.Time, a *attempt) {
+func (s *Stream) replaceSilent(now time.Time, a *attempt, reason string) {
 	reserves := s.ReserveReplacement != nil
 	if reserves && !s.ReserveReplacement(now, s.avoid) {
 		a.silent, a.nextReservationAt = false, now.Add(reservationInterval)
 		return
 	}
 	s.removeAttempt(a)
-	s.endAttempt(a, SilentAgain, nil)
+	s.endAttempt(a, reason, nil)
 	s.maybeAccepted = true
 	s.avoidTarget(a.target)
 	if reserves {
-		s.beginElsewhere(now, SilentAgain)
+		s.beginElsewhere(now, reason)
 		return
 	}
-	s.beginOrPostpone(now, SilentAgain)
+	s.beginOrPostpone(now, reason)
+}
+
+// handleSuspicion replaces an attempt whose target others have lost.
+func (s *Stream) handleSuspicion(now time.Time, ev Event) {
+	a := s.findAttempt(ev.Attempt)
+	if a == nil || !s.Exclusive || s.paused || now.Before(a.nextReservationAt) {
+		return
+	}
+	if ev.Target != "" {
+		a.target = ev.Target
+	}
+	s.replaceSilent(now, a, ev.Reason)
 }
 
 // giveUp ends a stream that received no token for the resume wait.
--- a/pkg/generation/stream.go
+++ b/pkg/generation/stream.go
@@ -129,6 +129,8 @@
 		s.resume(now)
 	case Delayed:
 		s.restartTimers(now)
+	case Suspected:
+		s.handleSuspicion(now, ev)
 	case Abandoned:
 		s.abandon("caller_gone")
 	case Ticked:
