Test that calls outlast a silence of their engine

The same class of fault as in streams (something is given up before its replacement is certain) was looked for in calls, and not found: the first attempt stays open beside the hedged one, and a failure is final only when no attempt is open.

--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -365,3 +366,62 @@
 		})
 	}
 }
+
+// Guards against failing a call for its engine's silence, or for the failure of a second engine that was asked meanwhile.
+func TestSilentCallGoesOn(t *testing.T) {
+	const body = "the whole answer"
+	answerLate := func(inBody bool) func(conn net.Conn, r *http.Request) bool {
+		return func(conn net.Conn, r *http.Request) bool {
+			if !inBody {
+				time.Sleep(engineSilence)
+				return writeResponse(conn, r, 200, body, "Seal: s")
+			}
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Id"), len(body), body[:4])
+			time.Sleep(engineSilence)
+			fmt.Fprint(conn, body[4:])
+			return true
+		}
+	}
+	for _, c := range []struct {
+		name, path  string
+		oneTarget   bool
+		emptyBudget bool
+		// other is how each engine but the first that is asked responds.
+		other func(conn net.Conn, r *http.Request) bool
+	}{
+		{name: "no_rerun", path: "/book/1"},
+		{name: "no_other_target", path: "/view/1", oneTarget: true},
+		{name: "retry_budget_empty", path: "/view/1", emptyBudget: true},
+		{name: "other_refuses", path: "/view/1", other: func(conn net.Conn, r *http.Request) bool { return writeResponse(conn, r, 503, "", "Not-Run: 1") }},
+		{name: "other_fails", path: "/view/1", other: func(conn net.Conn, r *http.Request) bool { return writeResponse(conn, r, 500, "x", "Seal: s") }},
+		{name: "other_is_lost", path: "/view/1", other: func(net.Conn, *http.Request) bool { return false }},
+	} {
+		for name, inBody := range map[string]bool{"before_the_header": false, "within_the_body": true} {
+			t.Run(c.name+"/"+name, func(t *testing.T) {
+				t.Parallel()
+				var runs atomic.Int32
+				handle := func(conn net.Conn, r *http.Request, _ string) bool {
+					if runs.Add(1) == 1 || c.other == nil {
+						return answerLate(inBody)(conn, r)
+					}
+					return c.other(conn, r)
+				}
+				stubs := []*engineStub{startStub(t, "e1", handle)}
+				if !c.oneTarget {
+					stubs = append(stubs, startStub(t, "e2", handle))
+				}
+				tr := startRelay(t, stubs...)
+				if c.emptyBudget {
+					tr.setRetryBudget(0, 0)
+				}
+				got := tr.request("POST", c.path, "x")
+				require.NoError(t, got.err)
+				require.Equal(t, 200, got.status)
+				require.Equal(t, body, got.body)
+				if c.path == "/book/1" || c.emptyBudget {
+					require.EqualValues(t, 1, runs.Load())
+				}
+			})
+		}
+	}
+}
