Add a failing test of engines that read a long body late

Cause: TCP_USER_TIMEOUT of connections to targets. It is meant for machines that can't be reached, but Linux applies it also to a window that stays full, although each probe is acknowledged. Not fixed here: without it an unreachable machine is noticed late, so that both cases have to be told apart.

--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -1,10 +1,13 @@
 package relay
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -425,3 +428,55 @@
 		}
 	}
 }
+
+// requestWithLongBody sends a request whose engine pauses before it reads anything.
+func requestWithLongBody(t *testing.T, path string, pause time.Duration) callerResponse {
+	t.Helper()
+	const bodySize = 256 << 10
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		time.Sleep(pause)
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		if n, err := io.Copy(io.Discard, r.Body); err != nil || n != bodySize {
+			return
+		}
+		writeEvents(c, r, 1, 2, true)
+	}()
+	tr := startRelay(t, &engineStub{id: "e1", address: ln.Addr().(*net.TCPAddr).AddrPort()})
+	TableKey.Put(tr.relay.Board, route.NewTable(2, route.Limits{MaxBodyBytes: bodySize, IdleTimeout: time.Minute}, testRoutes, []route.Pool{{Name: "p", HealthPath: "/health"}}, map[string]*route.Workspace{"k": {Name: "w"}}))
+	return tr.request("POST", path, strings.Repeat("x", bodySize))
+}
+
+// Guards against closing the connection to an engine that reads a long body after a second only.
+func TestPauseBeforeALongBody(t *testing.T) {
+	for _, path := range []string{"/book/1", "/once/1"} {
+		t.Run(strings.Split(path, "/")[1], func(t *testing.T) {
+			t.Parallel()
+			got := requestWithLongBody(t, path, engineSilence)
+			require.NoError(t, got.err)
+			require.Equal(t, eventsText(1, 2), got.body)
+		})
+	}
+}
+
+// Guards against closing the connection to an engine that reads a long body after unackedTimeout only.
+func TestLongPauseBeforeALongBody(t *testing.T) {
+	for _, path := range []string{"/book/1", "/once/1"} {
+		t.Run(strings.Split(path, "/")[1], func(t *testing.T) {
+			t.Parallel()
+			got := requestWithLongBody(t, path, unackedTimeout+time.Second)
+			require.NoError(t, got.err)
+			require.Equal(t, eventsText(1, 2), got.body)
+		})
+	}
+}
