--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -39,6 +39,8 @@
 	startedAt   time.Time
 	// wentSilent is set when the target was lost without any data or reset from it.
 	wentSilent bool
+	// silenceLogged is set when the silence of the target has been logged.
+	silenceLogged bool
 	// sent is set when bytes of the request may have reached the target.
 	sent bool
 	info ResponseInfo
@@ -188,6 +190,9 @@
 	})
 }
 
+// isUnanswered reports whether the target may have begun to run the request without having sent a response header.
+func (a *attempt) isUnanswered() bool { return a.sent && a.res == nil }
+
 func (a *attempt) status() int {
 	if a.res == nil {
 		return 0
@@ -235,5 +240,9 @@
 	return reasonConnectionLost
 }
 
-// reasonConnectionLost is the reason for an attempt whose connection was reset or closed.
-const reasonConnectionLost = "connection_lost"
+const (
+	// reasonConnectionLost is the reason for an attempt whose connection was reset or closed.
+	reasonConnectionLost = "connection_lost"
+	// reasonLostByOthers is the reason for an attempt whose target other instances have lost.
+	reasonLostByOthers = "lost_by_others"
+)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -44,21 +44,20 @@
 	// plannedAttempt is the next attempt to start, currentAttempt the open one; both may be nil.
 	plannedAttempt *generation.Action
 	currentAttempt *attempt
-	events         eventReader
-	headerSent     bool
+	// reserved is what the planned attempt uses, if it replaces a silent one.
+	reserved   *reservation
+	events     eventReader
+	headerSent bool
 	// idOffset is added to a position to give the event's id.
 	idOffset uint64
 	// idOffsetKnown is set once the first event's id is known.
 	idOffsetKnown bool
 	// backupEngine is the engine that holds a copy of the run's KV cache.
 	backupEngine netip.AddrPort
-	// acceptedCount is the number of targets that accepted the stream.
+	// acceptedCount is the number of targets that accepted the stream or may have.
 	acceptedCount int
 	refusals      int
 	failure       *generation.Failure
-	// reportedLost is set when the open attempt is abandoned because other instances lost its
-	// target.
-	reportedLost bool
 	// aborted is set when the response to the caller can't continue.
 	aborted    bool
 	lastSentAt time.Time
@@ -81,6 +80,7 @@
 			Seed: xxhash.Sum64String(req.ID), Timeouts: req.pool.silenceTimeouts(defaultSilenceTimeouts),
 		},
 	}
+	st.gen.ReserveReplacement = st.reserveReplacement
 	if req.Resuming {
 		st.idOffset, st.idOffsetKnown = req.LastEventID+1, true
 	}
@@ -147,6 +147,9 @@
 				st.plannedAttempt = nil
 			}
 			if st.currentAttempt != nil && st.currentAttempt.number == action.Attempt {
+				if st.currentAttempt.isUnanswered() {
+					st.acceptedCount++
+				}
 				st.currentAttempt.wentSilent = action.Reason == generation.SilentAgain && !st.currentAttempt.firstEventAt.IsZero()
 				st.endAttempt(engine.RequestResult{Unreachable: action.Reason == generation.SilentAgain, Cancelled: action.Reason != generation.SilentAgain}, false, action.Reason)
 			}
@@ -165,11 +168,11 @@
 	if current == nil || st.ctx.Err() != nil {
 		return time.Time{}, false
 	}
+	ev := generation.Event{Kind: generation.Ticked}
 	if current.firstEventAt.IsZero() && st.req.pool.lostSince(now, current.target.ID, current.startedAt) {
-		st.reportedLost = true
-		return time.Time{}, false
+		ev = generation.Event{Kind: generation.Suspected, Attempt: current.number, Target: current.target.ID, Reason: reasonLostByOthers}
 	}
-	st.performActions(st.gen.Step(now, generation.Event{Kind: generation.Ticked}))
+	st.performActions(st.gen.Step(now, ev))
 	if st.currentAttempt != current || st.gen.Done() {
 		return time.Time{}, false
 	}
@@ -205,27 +208,19 @@
 		}
 		return
 	}
-	st.endAttempt(st.lossResult(), false, st.lossReason(err))
+	st.endAttempt(st.lossResult(), false, lossReason(err))
 	st.performActions(st.gen.Step(now, generation.Event{Kind: generation.ConnectionLost, Attempt: current.number, Target: current.target.ID, Reason: lossReason(err)}))
 }
 
 // lossResult returns what the loss of the open attempt says about its target: nothing, if the
-// caller has disconnected or only other instances reported the loss.
+// caller has disconnected.
 func (st *streamHandler) lossResult() engine.RequestResult {
-	if st.reportedLost || st.ctx.Err() != nil {
+	if st.ctx.Err() != nil {
 		return engine.RequestResult{Cancelled: true}
 	}
 	return engine.RequestResult{Unreachable: true}
 }
 
-func (st *streamHandler) lossReason(err error) string {
-	if st.reportedLost {
-		st.reportedLost = false
-		return "lost_by_others"
-	}
-	return lossReason(err)
-}
-
 // handleTargetEvent passes one event from the target to the stream.
 func (st *streamHandler) handleTargetEvent(now time.Time, current *attempt, raw []byte, id uint64, numbered bool) {
 	if !numbered {
@@ -235,7 +230,7 @@
 	if !st.idOffsetKnown {
 		st.idOffset, st.idOffsetKnown = id, true
 	}
-	current.lastEventAt = now
+	current.lastEventAt, current.silenceLogged = now, false
 	current.eventCount++
 	if current.firstEventAt.IsZero() {
 		current.firstEventAt = now
