Let a stream whose silent engine was given up wait for a retry

Cause: an engine whose slots are taken counted as a certain replacement, and an empty retry budget ended the stream at once, though it is only empty for now.

Change: until a silence of 2 s, a target whose slots are taken does not replace a silent one (attempt_silent, targets_full); after that it does, since the engine is probably lost. A stream whose silent attempt was given up waits for a retry (attempt_postponed) until its deadline. A stream whose engine is really lost still ends at once without a retry, so that its caller can resume it elsewhere.

--- a/internal/relay/replacement.go
+++ b/internal/relay/replacement.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"bambooferry.example/bambooferry/pkg/generation"
 	"bambooferry.example/bambooferry/pkg/route"
 	"bambooferry.example/bambooferry/pkg/timeline"
 )
@@ -14,14 +15,22 @@
 	denialAttemptsUsed = "attempts_used"
 	denialRetryBudget  = "retry_budget"
 	denialNoTarget     = "no_target"
+	denialTargetsFull  = "targets_full"
 )
 
+// maxPause is the longest silence of a target that only pauses. Until then a target whose slots are
+// taken does not replace it, since that would probably refuse the request.
+const maxPause = 2 * time.Second
+
 // reservation is the target of an attempt that may begin.
 type reservation struct {
 	target route.Target
 	load   float64
 }
 
+// isFull reports whether the target's slots are taken, as far as is known.
+func (r *reservation) isFull() bool { return r.target.Slots > 0 && r.load >= float64(r.target.Slots) }
+
 // reserveReplacement reserves a target and a retry for the attempt that is to replace the open one.
 func (st *streamHandler) reserveReplacement(now time.Time, avoid []string) bool {
 	current := st.currentAttempt
@@ -52,6 +61,8 @@
 	switch {
 	case chosen == nil:
 		return denialNoTarget
+	case chosen.isFull() && now.Sub(current.conn.lastReadAt) < maxPause:
+		return denialTargetsFull
 	case !st.req.pool.allowRetry(now):
 		return denialRetryBudget
 	}
@@ -72,6 +83,18 @@
 	return ""
 }
 
+// postpone tries again later to begin an attempt for which no retry is left now.
+func (st *streamHandler) postpone(now time.Time, action *generation.Action) {
+	if !st.postponeLogged {
+		st.postponeLogged = true
+		st.relay.Log.Write(now, timeline.Event{
+			Kind: "attempt_postponed", Request: st.req.ID, Attempt: action.Attempt, Decision: "wait", Why: denialRetryBudget, Entry: st.req.route.Name,
+			Inputs: []timeline.Input{{Name: "left_ms", Value: st.req.deadline.Sub(now).Milliseconds()}, {Name: "events", Value: int64(st.gen.Position)}},
+		})
+	}
+	st.performActions(st.gen.Step(now, generation.Event{Kind: generation.NoTarget, Attempt: action.Attempt}))
+}
+
 // takeReservation returns the reservation for the attempt that begins, or nil.
 func (st *streamHandler) takeReservation() *reservation {
 	reserved := st.reserved
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -45,9 +45,14 @@
 	plannedAttempt *generation.Action
 	currentAttempt *attempt
 	// reserved is what the planned attempt uses, if it replaces a silent one.
-	reserved   *reservation
-	events     eventReader
-	headerSent bool
+	reserved *reservation
+	// gaveUpSilent is set while no target has gone on with a stream whose silent attempt was given up.
+	// Such a stream does not end for want of a retry.
+	gaveUpSilent bool
+	// postponeLogged is set when the wait for a retry has been logged.
+	postponeLogged bool
+	events         eventReader
+	headerSent     bool
 	// idOffset is added to a position to give the event's id.
 	idOffset uint64
 	// idOffsetKnown is set once the first event's id is known.
@@ -150,8 +155,10 @@
 				if st.currentAttempt.isUnanswered() {
 					st.acceptedCount++
 				}
-				st.currentAttempt.wentSilent = action.Reason == generation.SilentAgain && !st.currentAttempt.firstEventAt.IsZero()
-				st.endAttempt(engine.RequestResult{Unreachable: action.Reason == generation.SilentAgain, Cancelled: action.Reason != generation.SilentAgain}, false, action.Reason)
+				silent := action.Reason == generation.SilentAgain
+				st.gaveUpSilent = silent || action.Reason == reasonLostByOthers
+				st.currentAttempt.wentSilent = silent && !st.currentAttempt.firstEventAt.IsZero()
+				st.endAttempt(engine.RequestResult{Unreachable: silent, Cancelled: !silent}, false, action.Reason)
 			}
 		case generation.Deliver:
 			st.deliverEvent(action)
@@ -231,6 +238,7 @@
 		st.idOffset, st.idOffsetKnown = id, true
 	}
 	current.lastEventAt, current.silenceLogged = now, false
+	st.gaveUpSilent, st.postponeLogged = false, false
 	current.eventCount++
 	if current.firstEventAt.IsZero() {
 		current.firstEventAt = now
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -18,9 +18,19 @@
 	st.plannedAttempt = nil
 	now := time.Now()
 	chosen := st.takeReservation()
-	if chosen == nil && st.mustNotRetry(now, action) {
-		st.aborted = true
-		return
+	if chosen == nil && action.Attempt > 1 {
+		switch {
+		case st.rerunDenial(now, st.acceptedCount) != "":
+			st.aborted = true
+			return
+		case st.req.pool.allowRetry(now):
+		case st.gaveUpSilent:
+			st.postpone(now, action)
+			return
+		default:
+			st.aborted = true
+			return
+		}
 	}
 	if chosen == nil {
 		chosen = st.chooseTarget(now, targetCriteria{avoidTargets: action.Avoid, firstAttempt: action.Attempt == 1 && !st.req.Resuming})
@@ -54,14 +64,6 @@
 	st.openAttempt(current, info)
 }
 
-// mustNotRetry reports whether no further attempt may be made.
-func (st *streamHandler) mustNotRetry(now time.Time, action *generation.Action) bool {
-	if action.Attempt == 1 {
-		return false
-	}
-	return st.rerunDenial(now, st.acceptedCount) != "" || !st.req.pool.allowRetry(now)
-}
-
 // chooseTarget returns a target, if possible the engine that holds a copy of the run's KV cache, or
 // nil if there is none.
 func (st *streamHandler) chooseTarget(now time.Time, criteria targetCriteria) *reservation {
