Close the listener from the goroutine that accepts

What callers saw: with little processor time, requests on connections that came as the listener closed were reset over 200 ms after their last byte.

Cause: a close of a listener takes effect only when the goroutine in Accept runs again; until then the kernel completes connections, and resets them afterwards. Also, a connection was counted only when net/http reported it, after it had been accepted, so that a drain could end in between.

Change: the accepting goroutine looks at the queue, accepts what is there, and closes the listener itself when the queue is empty. Connections are counted as they are accepted.

--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -28,7 +28,7 @@
 	defer ln.Close()
 	caller, err := net.Dial("tcp", ln.Addr().String())
 	require.NoError(t, err)
-	accepted, err := (&listener{Listener: ln}).Accept()
+	accepted, err := (&listener{Listener: ln, track: func(*conn) {}}).Accept()
 	require.NoError(t, err)
 	t.Cleanup(func() { _, _ = caller.Close(), accepted.Close() })
 	c := accepted.(*conn)
@@ -139,6 +139,11 @@
 	return l.Listener.Accept()
 }
 
+// SetDeadline sets the deadline of the wrapped listener.
+func (l *delayedListener) SetDeadline(t time.Time) error {
+	return l.Listener.(*net.TCPListener).SetDeadline(t)
+}
+
 // SyscallConn gives access to the queue of the wrapped listener.
 func (l *delayedListener) SyscallConn() (syscall.RawConn, error) {
 	return l.Listener.(*net.TCPListener).SyscallConn()
--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -71,7 +71,8 @@
 // Serve accepts connections on ln until the server is drained or closed.
 func (s *HTTPServer) Serve(ln net.Listener) error {
 	s.init()
-	l := &listener{Listener: ln, headerTimeout: s.HeaderTimeout}
+	l := &listener{Listener: ln, headerTimeout: s.HeaderTimeout, track: s.track, closed: make(chan struct{})}
+	defer l.markClosed()
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
@@ -89,6 +90,19 @@
 	rw.announceClose()
 }
 
+// track adds a connection that was accepted. net/http reports it later, so that a drain that relied on
+// the report could end before it.
+func (s *HTTPServer) track(c *conn) {
+	if s.WriteBufferBytes > 0 {
+		// A buffer of the default size works too.
+		_ = c.SetWriteBuffer(s.WriteBufferBytes)
+	}
+	c.setIdle(time.Now())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+}
+
 // onStateChange is the ConnState hook of net/http.
 func (s *HTTPServer) onStateChange(nc net.Conn, state http.ConnState) {
 	now := time.Now()
@@ -98,14 +112,6 @@
 	}
 	switch state {
 	case http.StateNew:
-		if s.WriteBufferBytes > 0 {
-			// A buffer of the default size works too.
-			_ = c.SetWriteBuffer(s.WriteBufferBytes)
-		}
-		c.setIdle(now)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.conns[c] = struct{}{}
 	case http.StateActive:
 		c.setServing()
 	case http.StateIdle:
