Serve the product's own interface through callerconn

What callers would see: at internal/server a stop, the idle timeout and the time for a header closed connections whose request had been read or had arrived, as at the relay.

Cause: the same as there; the server used http.Server.Shutdown and IdleTimeout.

Change: internal/server serves through callerconn.HTTPServer; Limits.IdleTimeout (flag -idle-wait, 2 min as before) replaces net/http's, and request_unanswered and its counter exist here too.

TestRequestsInKernelAtIdleTimeout waits 2 s instead of the 2 min that were constant before; nothing else of it changed.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -135,6 +135,7 @@
 	s.DurationVar(&l.DetachAfter, "detach-after", l.DetachAfter, "`time` after which the engine connection of a caller that stopped reading is closed")
 	s.DurationVar(&l.UploadTimeout, "upload-wait", l.UploadTimeout, "longest `time` that a caller may take to send a body")
 	s.DurationVar(&l.HeaderTimeout, "header-wait", l.HeaderTimeout, "longest `time` that a caller may take to send a header")
+	s.DurationVar(&l.IdleTimeout, "idle-wait", l.IdleTimeout, "`time` for which a caller's connection is kept between requests")
 	s.DurationVar(&l.KeepAliveInterval, "keep-alive", l.KeepAliveInterval, "`time` without output after which a comment is sent in a streamed response")
 	s.DurationVar(&l.ResumeTimeout, "resume-wait", l.ResumeTimeout, "longest `time` without a token before a stream fails")
 	s.DurationVar(&l.CursorTTL, "cursor-life", l.CursorTTL, "`time` for which a cursor is valid")
@@ -148,7 +149,7 @@
 	s.addCheck("answer-bytes", func() bool { return l.MaxAnswerBytes >= 1024 && int64(l.MaxAnswerBytes) <= l.WorkspaceBytes }, "must be from 1024 to workspace-bytes")
 	s.addCheck("drain-wait", func() bool { return l.DrainPeriod >= 0 }, "must not be negative")
 	for name, d := range map[string]*time.Duration{
-		"reader-idle": &l.ReaderIdleTimeout, "detach-after": &l.DetachAfter, "upload-wait": &l.UploadTimeout, "header-wait": &l.HeaderTimeout,
+		"reader-idle": &l.ReaderIdleTimeout, "detach-after": &l.DetachAfter, "upload-wait": &l.UploadTimeout, "header-wait": &l.HeaderTimeout, "idle-wait": &l.IdleTimeout,
 		"keep-alive": &l.KeepAliveInterval, "resume-wait": &l.ResumeTimeout, "cursor-life": &l.CursorTTL, "stop-wait": &l.StopTimeout,
 	} {
 		s.addCheck(name, func() bool { return *d >= time.Millisecond }, "must be at least 1ms")
--- a/internal/server/http.go
+++ b/internal/server/http.go
@@ -99,9 +99,6 @@
 		w.Header().Set(RequestIDHeader, req.id)
 		s.activeHandlers.Add(1)
 		defer s.ensureTerminalEvent(req)
-		if s.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
 		if r.ContentLength != 0 {
 			// The server continues to read the body after an early refusal, so the time for it is bounded.
 			_ = http.NewResponseController(w).SetReadDeadline(req.now.Add(s.Limits.UploadTimeout))
--- a/internal/server/idle_conns_test.go
+++ b/internal/server/idle_conns_test.go
@@ -12,7 +12,7 @@
 )
 
 // callerIdleTimeout is the time after which an instance closes an idle connection of a caller.
-const callerIdleTimeout = 2 * time.Minute
+const callerIdleTimeout = 2 * time.Second
 
 // timedConn is a connection on which the instance set a read deadline between two times.
 type timedConn struct {
@@ -52,7 +52,7 @@
 func TestRequestsInKernelAtIdleTimeout(t *testing.T) {
 	keepOneProcessor(t)
 	g := &recordingTarget{}
-	in := startStopInstance(t, g, time.Millisecond, 10*time.Second)
+	in := startStopInstance(t, g, time.Millisecond, 10*time.Second, func(l *server.Limits) { l.IdleTimeout = callerIdleTimeout })
 	conns := make([]timedConn, 40)
 	for i := range conns {
 		k := &conns[i]
--- a/internal/server/outcome.go
+++ b/internal/server/outcome.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"bambooferry.example/bambooferry/internal/callerconn"
 	"bambooferry.example/bambooferry/pkg/generation"
 	"bambooferry.example/bambooferry/pkg/timeline"
 )
@@ -48,9 +49,9 @@
 const terminalEventWait = time.Second
 
 // closeNow cuts off requests in progress and waits for their terminal events.
-func (s *Server) closeNow(server *http.Server) error {
+func (s *Server) closeNow() error {
 	s.cutOff.Store(true)
-	err := server.Close()
+	err := s.callers.Close(callerconn.GraceOver)
 	for deadline := time.Now().Add(terminalEventWait); s.activeHandlers.Load() > 0 && time.Now().Before(deadline); {
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"io"
-	"log"
+	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -15,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"bambooferry.example/bambooferry/internal/callerconn"
 	"bambooferry.example/bambooferry/internal/platform"
 	"bambooferry.example/bambooferry/pkg/blackboard"
 	"bambooferry.example/bambooferry/pkg/catalogue"
@@ -71,6 +71,7 @@
 	// MembershipTiming holds the timing parameters of the membership protocol.
 	MembershipTiming instance.Timing
 
+	callers    callerconn.HTTPServer
 	membership membership
 	// leaving is set when a graceful stop begins, rejectNew when new requests are refused.
 	leaving   atomic.Bool
@@ -91,6 +92,13 @@
 	calls   callState
 }
 
+const (
+	// maxCallerHeaderBytes bounds the memory for a request's header.
+	maxCallerHeaderBytes = 32 << 10
+	// idleChecks is the number of checks for idle connections in one idle timeout.
+	idleChecks = 8
+)
+
 // Limits holds the memory limits and timeouts of one instance.
 type Limits struct {
 	// BufferBytes is the amount of undelivered text at which a stream stops reading from its engine.
@@ -109,6 +117,8 @@
 	UploadTimeout time.Duration
 	// HeaderTimeout bounds the time in which a caller sends its request's header.
 	HeaderTimeout time.Duration
+	// IdleTimeout is how long a caller's connection is kept between requests.
+	IdleTimeout time.Duration
 	// KeepAliveInterval is the time without output after which a comment is sent in a streamed answer.
 	KeepAliveInterval time.Duration
 	// MaxAnswerBytes bounds an answer that is not streamed.
@@ -140,6 +150,7 @@
 		DetachAfter:       2 * time.Second,
 		UploadTimeout:     30 * time.Second,
 		HeaderTimeout:     5 * time.Second,
+		IdleTimeout:       2 * time.Minute,
 		KeepAliveInterval: 5 * time.Second,
 		ResumeTimeout:     30 * time.Second,
 		CursorTTL:         time.Hour,
@@ -161,32 +172,28 @@
 	if err := s.initCalls(ctx); err != nil {
 		return err
 	}
-	server := &http.Server{
-		Handler:           s.Handler(),
-		ReadHeaderTimeout: s.Limits.HeaderTimeout,
-		IdleTimeout:       2 * time.Minute,
-		MaxHeaderBytes:    32 << 10,
-		BaseContext:       func(net.Listener) context.Context { return ctx },
-		ConnState: func(c net.Conn, state http.ConnState) {
-			if t, ok := c.(*net.TCPConn); ok && state == http.StateNew {
-				_ = t.SetWriteBuffer(socketBytes)
-			}
-		},
-		ErrorLog: log.New(io.Discard, "", 0),
+	s.callers = callerconn.HTTPServer{
+		Handler: s.Handler(), HeaderTimeout: s.Limits.HeaderTimeout, MaxHeaderBytes: maxCallerHeaderBytes, WriteBufferBytes: socketBytes,
+		BaseContext:      func(net.Listener) context.Context { return ctx },
+		ReportUnanswered: s.reportUnanswered,
 	}
 	s.runErr = ctx.Err
 	s.registerGauges()
 	done := make(chan error, 1)
-	go func() { done <- server.Serve(s.Listener) }()
+	go func() { done <- s.callers.Serve(s.Listener) }()
+	idleCtx, stopIdleChecks := context.WithCancel(ctx)
+	defer stopIdleChecks()
+	go s.closeIdleConns(idleCtx)
 	s.Log.Info().Str("instance", s.ID).Str("address", s.Address().String()).Msg("server: Listening.")
 	select {
 	case err := <-done:
 		return errors.Wrap(err, "serve")
 	case <-ctx.Done():
-		return s.closeNow(server)
+		return s.closeNow()
 	case <-stop.Done():
 	}
 	s.leaving.Store(true)
+	s.callers.BeginStop()
 	s.announceLeave(ctx)
 	s.Log.Info().Msg("server: Stopping. Requests in progress will finish.")
 	// A load balancer sends requests until its next health check; with a closed port they would fail.
@@ -194,9 +201,12 @@
 	s.rejectNew.Store(true)
 	stopCtx, cancel := context.WithTimeout(ctx, s.Limits.StopTimeout)
 	defer cancel()
-	if err := server.Shutdown(stopCtx); err != nil {
+	if err := s.callers.Drain(stopCtx); err != nil {
 		s.Log.Warn().Err(err).Msg("server: Stopped with requests in progress.")
-		return s.closeNow(server)
+		return s.closeNow()
+	}
+	if err := s.callers.Close(callerconn.Stopping); err != nil {
+		s.Log.Warn().Err(err).Msg("server: Could not close the listener.")
 	}
 	s.drainCalls(stopCtx)
 	s.graceful.Store(true)
@@ -204,6 +214,29 @@
 	return nil
 }
 
+// closeIdleConns closes callers' connections that have been idle for too long, until ctx ends.
+func (s *Server) closeIdleConns(ctx context.Context) {
+	tick := time.NewTicker(max(s.Limits.IdleTimeout/idleChecks, time.Millisecond))
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			s.callers.CloseIdle(now, s.Limits.IdleTimeout)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// reportUnanswered logs and counts a request that ended without an answer.
+func (s *Server) reportUnanswered(now time.Time, u callerconn.Unanswered) {
+	s.Metrics.GetOrCreateCounter(fmt.Sprintf("bambooferry_requests_unanswered_total{closed_by=%q,phase=%q}", u.ClosedBy, u.Phase)).Inc()
+	s.Events.Write(now, timeline.Event{
+		Kind: "request_unanswered", Member: u.Caller.String(), Why: string(u.ClosedBy), Decision: u.Phase,
+		Inputs: []timeline.Input{{Name: "read_bytes", Value: u.ReadBytes}, {Name: "held_ms", Value: u.Held.Milliseconds()}},
+	})
+}
+
 // Ready reports whether the instance can take new requests.
 func (s *Server) Ready() bool {
 	if r, ok := s.Router.(interface{ Ready() bool }); ok && !r.Ready() {
