Answer requests in progress when the stop timeout passes

What callers would see: a completion, a stream without output or a call in progress when -stop-wait had passed ended with its connection and without an answer, and so did an upload.

Cause: closeNow closed the connections of running handlers at once.

Change: when the stop timeout has passed, request contexts end with errStopTimeout. A request to which nothing was sent gets 502 leaving with an unknown outcome, or 503 if its handler states that it has not run; a stream that has begun gets an error event. A stop at once (second signal) is as before.

--- a/internal/server/http.go
+++ b/internal/server/http.go
@@ -94,7 +94,9 @@
 func (s *Server) handle(h func(http.ResponseWriter, *request) error) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
 		w := &trackedResponse{ResponseWriter: rw}
-		req := &request{Request: r, id: newID(), now: time.Now()}
+		ctx, cancel := s.interruptible(r.Context(), w)
+		defer cancel()
+		req := &request{Request: r.WithContext(ctx), id: newID(), now: time.Now()}
 		req.onPart = s.newPartObserver(req)
 		w.Header().Set(RequestIDHeader, req.id)
 		s.activeHandlers.Add(1)
@@ -118,6 +120,8 @@
 		}
 		var lost *callerLostError
 		switch {
+		case err != nil && isInterrupted(ctx) && !w.headerWritten:
+			s.refuseRequest(w, req, interruptRefusal(err))
 		case errors.As(err, &lost):
 			// Part of an answer may have been written, so the connection cannot be used any more.
 			panic(http.ErrAbortHandler)
@@ -152,9 +156,7 @@
 func (s *Server) authenticate(r *request) error {
 	d, ok := Catalogue.Get(s.Board)
 	if s.rejectNew.Load() {
-		f := newRefusal(http.StatusServiceUnavailable, "leaving", "the instance is stopping; ask again, another will answer").retryAfter(time.Millisecond)
-		f.Close = true
-		return f
+		return leavingRefusal()
 	}
 	if !ok {
 		return newRefusal(http.StatusServiceUnavailable, "not_ready", "the instance has no catalogue yet").retryAfter(time.Second)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -71,8 +71,11 @@
 	// MembershipTiming holds the timing parameters of the membership protocol.
 	MembershipTiming instance.Timing
 
-	callers    callerconn.HTTPServer
-	membership membership
+	callers callerconn.HTTPServer
+	// stopContext ends with errStopTimeout when a stop calls interruptRequests.
+	stopContext       context.Context
+	interruptRequests context.CancelCauseFunc
+	membership        membership
 	// leaving is set when a graceful stop begins, rejectNew when new requests are refused.
 	leaving   atomic.Bool
 	rejectNew atomic.Bool
@@ -172,6 +175,8 @@
 	if err := s.initCalls(ctx); err != nil {
 		return err
 	}
+	s.stopContext, s.interruptRequests = context.WithCancelCause(ctx)
+	defer s.interruptRequests(nil)
 	s.callers = callerconn.HTTPServer{
 		Handler: s.Handler(), HeaderTimeout: s.Limits.HeaderTimeout, MaxHeaderBytes: maxCallerHeaderBytes, WriteBufferBytes: socketBytes,
 		BaseContext:      func(net.Listener) context.Context { return ctx },
@@ -203,6 +208,7 @@
 	defer cancel()
 	if err := s.callers.Drain(stopCtx); err != nil {
 		s.Log.Warn().Err(err).Msg("server: Stopped with requests in progress.")
+		s.answerInterrupted(ctx)
 		return s.closeNow()
 	}
 	if err := s.callers.Close(callerconn.Stopping); err != nil {
@@ -214,6 +220,15 @@
 	return nil
 }
 
+// answerInterrupted interrupts the requests in progress and gives them time for an answer.
+func (s *Server) answerInterrupted(ctx context.Context) {
+	s.interruptRequests(errStopTimeout)
+	ctx, cancel := context.WithTimeout(ctx, finalAnswerTime)
+	defer cancel()
+	// What is still open then is closed by the caller of this function.
+	_ = s.callers.Drain(ctx)
+}
+
 // closeIdleConns closes callers' connections that have been idle for too long, until ctx ends.
 func (s *Server) closeIdleConns(ctx context.Context) {
 	tick := time.NewTicker(max(s.Limits.IdleTimeout/idleChecks, time.Millisecond))
--- a/internal/server/writer.go
+++ b/internal/server/writer.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -63,6 +64,10 @@
 		case <-timer:
 			timer = nil
 		case <-st.request.Context().Done():
+			if isInterrupted(st.request.Context()) {
+				*p = part{err: st.interrupt()}
+				return nil
+			}
 			return st.request.Context().Err()
 		}
 	}
@@ -71,10 +76,10 @@
 
 // sendStream writes the answer as server-sent events while it is generated.
 func (s *Server) sendStream(w http.ResponseWriter, r *request, st *stream) (err error) {
+	p := &part{}
 	stop := st.startLoop()
-	defer func() { stop(err) }()
+	defer func() { stop(cmp.Or(err, p.err)) }()
 	e := &eventWriter{w: w, out: http.NewResponseController(w), idleTimeout: s.Limits.ReaderIdleTimeout}
-	p := &part{}
 	for done := false; !done; {
 		if err := st.nextPart(p, e.flushOrKeepAlive); err != nil {
 			return s.callerLost(r, err)
