Refuse a request whose body can't be decoded

What callers saw: a chunked body with a malformed chunk ended with its connection and without an answer (found by review of the places that abort a request).

Cause: each error of a body's read but its size was taken for a caller that had left.

Change: only an early end and an error of the connection mean that; anything else is refused with 400 body_malformed, not_run, and Connection: close.

--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -20,6 +20,7 @@
 	codeNoRoute       = "no_route"
 	codeKeyUnknown    = "key_unknown"
 	codeBodyTooLarge  = "body_too_large"
+	codeBodyMalformed = "body_malformed"
 	codeNoTarget      = "no_target"
 	codeTargetsRefuse = "targets_refuse"
 	codeStopping      = "instance_stopping"
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -170,6 +171,11 @@
 	if large := (*http.MaxBytesError)(nil); errors.As(err, &large) {
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Code: codeBodyTooLarge, Outcome: generation.NotRun}
 	}
+	connErr := (*net.OpError)(nil)
+	if !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &connErr) {
+		w.Header().Set("Connection", "close")
+		return &Refusal{Status: http.StatusBadRequest, Code: codeBodyMalformed, Outcome: generation.NotRun}
+	}
 	// The caller did not send its complete request and so does not wait for a response.
 	r.Log.Write(time.Now(), timeline.Event{Kind: "request_incomplete", Request: req.ID, Entry: req.route.Name, Outcome: string(generation.NotRun)})
 	panic(http.ErrAbortHandler)
--- a/internal/relay/unanswered_test.go
+++ b/internal/relay/unanswered_test.go
@@ -332,3 +332,18 @@
 		})
 	}
 }
+
+// Guards against closing a connection without an answer because its request's body can't be decoded.
+func TestMalformedBodyIsRefused(t *testing.T) {
+	e := startAnsweringStub(t)
+	tr := startRelay(t, e)
+	c := tr.dial()
+	c.send("POST /book/1 HTTP/1.1\r\nHost: h.example\r\nId: malformed\r\nKey: k\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nbody\r\n")
+	got := c.receive()
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusBadRequest, got.status)
+	require.Equal(t, "close", got.header.Get("Connection"))
+	require.Equal(t, codeBodyMalformed, ownResponse(t, got).Code)
+	require.Equal(t, generation.NotRun, ownResponse(t, got).Outcome)
+	require.Empty(t, e.seenRequests())
+}
