Refuse a body that is too large at once

What callers saw: since callers are served through callerconn, no 413 came until the rest of a body that was too large had arrived; the connection hung (found by review).

Cause: http.MaxBytesReader marks net/http's own response writer, which a wrapper hides, so that net/http read the rest of the body before it wrote the header.

Change: the refusal announces the close of its connection, as that of a malformed body does, also for calls at internal/server.

--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -168,12 +168,13 @@
 	if err == nil {
 		return nil
 	}
+	// net/http would read the rest of the body before it keeps the connection.
+	w.Header().Set("Connection", "close")
 	if large := (*http.MaxBytesError)(nil); errors.As(err, &large) {
 		return &Refusal{Status: http.StatusRequestEntityTooLarge, Code: codeBodyTooLarge, Outcome: generation.NotRun}
 	}
 	connErr := (*net.OpError)(nil)
 	if !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &connErr) {
-		w.Header().Set("Connection", "close")
 		return &Refusal{Status: http.StatusBadRequest, Code: codeBodyMalformed, Outcome: generation.NotRun}
 	}
 	// The caller did not send its complete request and so does not wait for a response.
--- a/internal/server/call.go
+++ b/internal/server/call.go
@@ -135,7 +135,7 @@
 	_ = out.SetReadDeadline(r.now.Add(s.Limits.UploadTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.Limits.BodyBytes))
 	if err != nil {
-		return nil, newRefusal(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than the entry allows or came too slowly")
+		return nil, closeAfterRefusal(newRefusal(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than the entry allows or came too slowly"))
 	}
 	_ = out.SetReadDeadline(time.Time{})
 	c := &call{
