Refuse requests whose body is complete only after a stop began

What callers saw: a request whose body ended after a stop had interrupted requests was sent to its target, which ran it, and got 502 within a millisecond (found by review).

Cause: whether a request may outlast the grace period was asked before its body was read.

Change: it is asked again when the body is complete; such a request is refused with 503, not_run. TestBegunStreamOutlivesInterruption guards the other side: a stream that has begun goes on until connections are closed; it passes with and without this change.

--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -61,6 +61,11 @@
 		r.refuse(w, req, refusal)
 		return
 	}
+	if r.mayOutlastGrace(req) {
+		// The stop began while the body was read.
+		r.refuse(w, req, notRunRefusal(codeStopping, stoppingRetryAfter))
+		return
+	}
 	if r.Crashes.isMarked(now, req) {
 		r.refuse(w, req, notRunRefusal(codeCrashes, markedRetryAfter))
 		return
