Take a retry only when there is a target for it

What callers saw: while one stream waited for a target, retries of other requests were denied; it took a retry at each try without a target (found by review; 3 of 3 retries by a stream that was sent once, and 1 by a call).

Change: the target is chosen before the retry is taken, as for replacements.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -80,13 +80,17 @@
 	c.awaitResult(ctx, sendCtx)
 }
 
-// startAttempt starts one attempt and reports whether there was a target for it.
+// startAttempt starts one attempt and reports whether there was a target for it and, unless it is the
+// first, a retry.
 func (c *callHandler) startAttempt(ctx context.Context, reason string) bool {
 	now := time.Now()
 	t, load, ok := c.req.pool.chooseTarget(now, c.relay.DataCentre, targetCriteria{avoidTargets: c.triedTargets, requestID: c.req.ID, firstAttempt: len(c.triedTargets) == 0})
 	if !ok {
 		return false
 	}
+	if len(c.triedTargets) > 0 && !c.req.pool.allowRetry(now) {
+		return false
+	}
 	c.triedTargets = append(c.triedTargets, t.ID)
 	c.possibleRuns++
 	c.openAttempts++
@@ -107,7 +111,7 @@
 				return
 			}
 		case <-hedge.C:
-			if c.mayRetry() && c.req.pool.allowRetry(time.Now()) {
+			if c.mayRetry() {
 				c.startAttempt(sendCtx, "slow")
 			}
 		case <-ctx.Done():
@@ -146,12 +150,12 @@
 	if result.notRun {
 		c.possibleRuns--
 		c.refusals++
-		if c.refusals < maxRefusals && time.Now().Before(c.req.deadline) && c.req.pool.allowRetry(time.Now()) && c.startAttempt(ctx, "refused_by_target") {
+		if c.refusals < maxRefusals && time.Now().Before(c.req.deadline) && c.startAttempt(ctx, "refused_by_target") {
 			return false
 		}
 	} else {
 		c.lastFailure = result
-		if c.mayRetry() && c.req.pool.allowRetry(time.Now()) && c.startAttempt(ctx, "failed") {
+		if c.mayRetry() && c.startAttempt(ctx, "failed") {
 			return false
 		}
 	}
--- a/internal/relay/replacement.go
+++ b/internal/relay/replacement.go
@@ -83,8 +83,13 @@
 	return ""
 }
 
-// postpone tries again later to begin an attempt for which no retry is left now.
-func (st *streamHandler) postpone(now time.Time, action *generation.Action) {
+// waitForRetryBudget tries again later to begin an attempt for which no retry is left now. A stream
+// whose target was really lost ends instead: its caller resumes it sooner.
+func (st *streamHandler) waitForRetryBudget(now time.Time, action *generation.Action) {
+	if !st.awaitsReplacement {
+		st.aborted = true
+		return
+	}
 	if !st.postponeLogged {
 		st.postponeLogged = true
 		st.relay.Log.Write(now, timeline.Event{
--- a/internal/relay/replacement_test.go
+++ b/internal/relay/replacement_test.go
@@ -96,3 +96,25 @@
 		})
 	}
 }
+
+// Guards against taking retries from the budget while there is no target for them.
+func TestWaitForTargetTakesNoRetry(t *testing.T) {
+	for _, path := range []string{"/draft/1", "/view/1"} {
+		t.Run(path, func(t *testing.T) {
+			var runs atomic.Int32
+			e1 := startStub(t, "e1", func(c net.Conn, r *http.Request, _ string) bool {
+				runs.Add(1)
+				// The target states that it is leaving, so no target is open.
+				return writeResponse(c, r, 503, "", "Not-Run: 1", "Leaving: 1", "Target: e1")
+			})
+			tr := startRelay(t, e1)
+			tr.setRetryBudget(0, 5)
+			tr.request("POST", path, "prompt", "Patience", "3s")
+			left := 0
+			for tr.relay.Targets.pool("p").allowRetry(time.Now()) {
+				left++
+			}
+			require.Equal(t, 3, left, "retries left after a request that was sent %d times", runs.Load())
+		})
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -46,9 +46,9 @@
 	currentAttempt *attempt
 	// reserved is what the planned attempt uses, if it replaces a silent one.
 	reserved *reservation
-	// gaveUpSilent is set while no target has gone on with a stream whose silent attempt was given up.
-	// Such a stream does not end for want of a retry.
-	gaveUpSilent bool
+	// awaitsReplacement is set from the cancellation of a silent attempt until another one delivers an
+	// event.
+	awaitsReplacement bool
 	// postponeLogged is set when the wait for a retry has been logged.
 	postponeLogged bool
 	events         eventReader
@@ -156,7 +156,7 @@
 					st.acceptedCount++
 				}
 				silent := action.Reason == generation.SilentAgain
-				st.gaveUpSilent = silent || action.Reason == reasonLostByOthers
+				st.awaitsReplacement = silent || action.Reason == reasonLostByOthers
 				st.currentAttempt.wentSilent = silent && !st.currentAttempt.firstEventAt.IsZero()
 				st.endAttempt(engine.RequestResult{Unreachable: silent, Cancelled: !silent}, false, action.Reason)
 			}
@@ -238,7 +238,7 @@
 		st.idOffset, st.idOffsetKnown = id, true
 	}
 	current.lastEventAt, current.silenceLogged = now, false
-	st.gaveUpSilent, st.postponeLogged = false, false
+	st.awaitsReplacement, st.postponeLogged = false, false
 	current.eventCount++
 	if current.firstEventAt.IsZero() {
 		current.firstEventAt = now
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -18,32 +18,19 @@
 	st.plannedAttempt = nil
 	now := time.Now()
 	chosen := st.takeReservation()
-	if chosen == nil && action.Attempt > 1 {
-		switch {
-		case st.rerunDenial(now, st.acceptedCount) != "":
+	if chosen == nil {
+		if action.Attempt > 1 && st.rerunDenial(now, st.acceptedCount) != "" {
 			st.aborted = true
 			return
-		case st.req.pool.allowRetry(now):
-		case st.gaveUpSilent:
-			st.postpone(now, action)
-			return
-		default:
-			st.aborted = true
+		}
+		if chosen = st.chooseTarget(now, targetCriteria{avoidTargets: action.Avoid, firstAttempt: action.Attempt == 1 && !st.req.Resuming}); chosen == nil {
+			st.waitForTarget(now, action)
 			return
 		}
-	}
-	if chosen == nil {
-		chosen = st.chooseTarget(now, targetCriteria{avoidTargets: action.Avoid, firstAttempt: action.Attempt == 1 && !st.req.Resuming})
-	}
-	if chosen == nil {
-		if st.acceptedCount == 0 {
-			if st.backoffRefusal = st.req.backoffRefusal(now); st.backoffRefusal != nil {
-				st.aborted = true
-				return
-			}
+		if action.Attempt > 1 && !st.req.pool.allowRetry(now) {
+			st.waitForRetryBudget(now, action)
+			return
 		}
-		st.handleEvent(generation.Event{Kind: generation.NoTarget, Attempt: action.Attempt})
-		return
 	}
 	t := chosen.target
 	info := AttemptInfo{Urgency: urgencyOf(st.req, st.gen.Position > 0), HasUrgency: true, RequestID: st.req.ID}
@@ -64,6 +51,18 @@
 	st.openAttempt(current, info)
 }
 
+// waitForTarget tries again later to begin an attempt for which there is no target, unless no target
+// wants the request.
+func (st *streamHandler) waitForTarget(now time.Time, action *generation.Action) {
+	if st.acceptedCount == 0 {
+		if st.backoffRefusal = st.req.backoffRefusal(now); st.backoffRefusal != nil {
+			st.aborted = true
+			return
+		}
+	}
+	st.handleEvent(generation.Event{Kind: generation.NoTarget, Attempt: action.Attempt})
+}
+
 // chooseTarget returns a target, if possible the engine that holds a copy of the run's KV cache, or
 // nil if there is none.
 func (st *streamHandler) chooseTarget(now time.Time, criteria targetCriteria) *reservation {
