Keep a pool that leaves the table up to date for its requests

Cause: a pool was dropped with the table, while requests held it; nothing updated it any more. It was dropped before the new table was visible to admission.

Change: a removed pool is kept and updated for 2 min.

--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -22,6 +22,9 @@
 	// centres that are assumed until they are measured.
 	sameDataCentreRTT  = 200 * time.Microsecond
 	otherDataCentreRTT = 3 * time.Millisecond
+	// removedPoolTime is how long a pool is kept that is no longer in the table; requests with longer
+	// time limits keep it with the targets of that time.
+	removedPoolTime = 2 * time.Minute
 )
 
 // TargetRegistry holds what one instance knows about all targets; set its exported fields before
@@ -74,6 +77,8 @@
 	availability    route.Availability
 	split           version.Split
 	progressChanged chan struct{}
+	// removedAt is when the table no longer had the pool, or zero; the registry's lock guards it.
+	removedAt time.Time
 }
 
 // Update applies the pools of a table and the targets of each pool.
@@ -92,8 +97,24 @@
 		}
 		conf, _ := table.Pool(name)
 		p.update(now, conf, targets[name])
+		p.removedAt = time.Time{}
 		r.pools[name] = p
 	}
+	for name, p := range old {
+		if r.pools[name] == nil && p.keepRemoved(now) {
+			p.update(now, &route.Pool{Model: p.model, HealthPath: p.healthPath}, targets[name])
+			r.pools[name] = p
+		}
+	}
+}
+
+// keepRemoved reports whether a pool that is not in the table is kept, since requests that were
+// admitted before still use it.
+func (p *pool) keepRemoved(now time.Time) bool {
+	if p.removedAt.IsZero() {
+		p.removedAt = now
+	}
+	return now.Sub(p.removedAt) < removedPoolTime
 }
 
 // ProgressChanged returns the channel that signals changes of LocalProgress.
