Cancel a due close when net/http holds bytes of a request

What callers would see: a connection that had begun to receive a request, which came with the one before, was closed if an idle close fell due between the two events (found by review). Also: an immediate end of internal/server no longer counts as a stop timeout, and the reason of a connection that net/http closed is http_server.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -27,7 +27,7 @@
 	// GraceOver means that the instance closed the connection at the end of the grace period.
 	GraceOver Reason = "grace_over"
 	// ClosedByServer means that net/http closed the connection, for instance after a malformed request.
-	ClosedByServer Reason = "server"
+	ClosedByServer Reason = "http_server"
 )
 
 // phase is what a connection is doing.
@@ -187,7 +187,7 @@
 	if c.phase == idle && c.used && !t.IsZero() {
 		// net/http sets the deadline for a header when it holds bytes of the next request. They may
 		// have been read together with the former one.
-		c.phase, c.requestAt, c.readBytes = receiving, time.Now(), peekedBytes
+		c.phase, c.requestAt, c.readBytes, c.closeDue = receiving, time.Now(), peekedBytes, ""
 	}
 	c.readDeadline = t
 	c.applyReadDeadline()
--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -87,6 +87,24 @@
 	require.Equal(t, 1, n)
 }
 
+// Guards against a close that stays due after net/http has found that it holds bytes of the next request.
+func TestDueCloseIsCancelledByBufferedRequest(t *testing.T) {
+	c, caller := connPair(t)
+	c.setServing()
+	c.setIdle(time.Now())
+	c.closeIfIdle(time.Now().Add(time.Minute), time.Second, IdleTimeout)
+	require.NoError(t, c.SetReadDeadline(time.Time{}))
+	// net/http has peeked four bytes that it read with the former request.
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(time.Minute)))
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		_, _ = caller.Write([]byte("rest"))
+	}()
+	n, err := c.Read(make([]byte, 10))
+	require.NoError(t, err)
+	require.Equal(t, 4, n)
+}
+
 // Guards against idle connections that stay open, and against closes that count as the caller's.
 func TestIdleConnIsClosed(t *testing.T) {
 	c, _ := connPair(t)
--- a/internal/server/interrupt.go
+++ b/internal/server/interrupt.go
@@ -25,8 +25,8 @@
 func (s *Server) interruptible(ctx context.Context, w http.ResponseWriter) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	stop := context.AfterFunc(s.stopContext, func() {
-		cancel(errStopTimeout)
-		// Without it the connection is closed when the stop ends.
+		cancel(context.Cause(s.stopContext))
+		// Ends the read of a body that is still arriving.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
 	})
 	return ctx, func() {
