--- a/internal/callerconn/doc.go
+++ b/internal/callerconn/doc.go
@@ -2,6 +2,6 @@
 //
 // It tracks what each connection is doing, closes a connection between requests only if neither the
 // process nor the kernel holds a part of the next one, and reports requests that end without an
-// answer. An HTTPServer owns its connections; HTTPServer.mu guards the set of them and conn.mu the
-// state of each. The package imports no other package of this module.
+// answer. Up to three bytes that net/http reads together with the request before are not noticed. An
+// HTTPServer owns its connections; HTTPServer.mu guards the set of them and conn.mu the state of each.
 package callerconn
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -51,7 +51,7 @@
 	eventCount   int
 }
 
-// startAttempt counts an attempt before it is sent, so that concurrent choices take it into
+// newAttempt counts an attempt before it is sent, so that concurrent choices take it into
 // account.
 func (r *Relay) newAttempt(now time.Time, req *callerRequest, t route.Target, number int, reason string, load float64) *attempt {
 	req.attemptCount++
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,7 +36,7 @@
 	// shutdownMargin is the part of the grace period that is reserved for writing the last log
 	// lines.
 	shutdownMargin = 250 * time.Millisecond
-	// finalAnswerTime is the part before it in which interrupted requests are answered.
+	// finalAnswerTime is the part before shutdownMargin in which interrupted requests are answered.
 	finalAnswerTime = 250 * time.Millisecond
 )
 
--- a/internal/relay/replacement.go
+++ b/internal/relay/replacement.go
@@ -18,8 +18,8 @@
 	denialTargetsFull  = "targets_full"
 )
 
-// maxPause is the longest silence of a target that only pauses. Until then a target whose slots are
-// taken does not replace it, since that would probably refuse the request.
+// maxPause is how long a silent target is expected to go on. During that time the stream is not moved
+// to a target whose slots are taken, since that would probably refuse it.
 const maxPause = 2 * time.Second
 
 // reservation is the target of an attempt that may begin.
