--- a/pkg/generation/exclusive_test.go
+++ b/pkg/generation/exclusive_test.go
@@ -127,7 +127,7 @@
 	require.Equal(t, "target_lost", got[0].Reason)
 }
 
-// Guards against ending an attempt on the word of others while it can't be replaced, and against keeping it once it can be.
+// Guards against ending an attempt that other instances report as lost while it can't be replaced, and against keeping it once it can be.
 func TestSuspectedAttemptIsKeptUntilItIsReplaced(t *testing.T) {
 	s := testStream()
 	s.Exclusive, s.AcceptWait, s.Timeouts.Accept = true, 10*time.Second, 5*time.Second
