Log and count each check of a target that lost a request

Each check now leaves target_crashed, target_crash_unlikely or target_crash_uncertain. No decision changes.

--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -105,6 +105,7 @@
 		ctx, cancel := context.WithTimeout(r.probeContext, dialTimeout)
 		defer cancel()
 		conn, err := r.targetConns.dial(ctx, a.target.Address)
+		r.logCrashCheck(time.Now(), a, lostAt, err)
 		if err == nil {
 			// Only the connection was lost.
 			r.targetConns.put(time.Now(), conn, 0)
@@ -121,3 +122,23 @@
 		}
 	})
 }
+
+// logCrashCheck logs what a new connection to a target that lost a request has shown.
+func (r *Relay) logCrashCheck(now time.Time, a *attempt, lostAt time.Time, err error) {
+	kind, why := "target_crashed", "connection_refused"
+	switch {
+	case err == nil:
+		kind, why = "target_crash_unlikely", "connection_accepted"
+	case !errors.Is(err, syscall.ECONNREFUSED):
+		kind, why = "target_crash_uncertain", "no_connection"
+	}
+	r.instruments.recordCrashCheck(why)
+	r.Log.Write(now, timeline.Event{
+		Kind: kind, Request: a.req.ID, Target: a.target.ID, Attempt: a.number, Why: why, Entry: a.req.route.Name,
+		Inputs: []timeline.Input{
+			{Name: "lost_ms", Value: now.Sub(lostAt).Milliseconds()},
+			{Name: "begun_ms", Value: now.Sub(a.startedAt).Milliseconds()},
+			{Name: "events", Value: int64(a.eventCount)},
+		},
+	})
+}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -52,6 +52,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("bambooferry_target_statements_total{statement=%q}", statement)).Inc()
 }
 
+// recordCrashCheck counts the checks of targets that lost a request: "connection_refused",
+// "connection_accepted" or "no_connection".
+func (m *instruments) recordCrashCheck(result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("bambooferry_crash_checks_total{result=%q}", result)).Inc()
+}
+
 func (m *instruments) recordAttempt(req *callerRequest, reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("bambooferry_attempts_total{kind=%q,end=%q}", req.route.Kind, reason)).Inc()
 }
