--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -34,6 +34,11 @@
 	if n, err := strconv.ParseUint(r.Header.Get("After"), 10, 64); err == nil {
 		req.LastEventID, req.Resuming = n, true
 	}
+	if parts := r.Header.Get("Parts"); parts != "" {
+		for id := range strings.SplitSeq(parts, ",") {
+			req.PromptParts = append(req.PromptParts, PromptPart{ID: id, Tokens: 100})
+		}
+	}
 	return req
 }
 
