Refuse requests whose prompt has a part that crashes engines

Cause: a crash counted against a request's whole content only, so no two of these requests were one, and each could end three engines. Crashes whose attempt began before the last crash were dropped, which loses most crashes of requests that run at several engines at once. Class: what is counted is not what is to blame.

Change: booking.PartCrashDetector counts crashes of distinct incarnations by the parts of the prompts that were present, for all instances together. A part is marked when several requests with it were present at separate crashes, no answer with it has begun since, others have, and no other part explains more. A marked part is checked by each path that sends, just before it sends; a stream that was sent and not begun is ended. Marks go to the other instances by datagram, and to the store, so that an instance that starts knows them before it serves.

Why it works: an answer that begins and goes on clears a part, and a crash that a marked part explains counts against no other.

Ruled out: to keep the count per request and lower its bound (each new request is another one); to mark at the second crash (companions of two crashes).

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -27,6 +27,11 @@
 
 func (e *ResponseError) Error() string { return "invalid response from target: " + e.Rule }
 
+// MarkedError reports that a request was not sent because it is known to crash targets.
+type MarkedError struct{}
+
+func (*MarkedError) Error() string { return "the request crashes targets" }
+
 // attempt is one attempt to run a request at one target.
 type attempt struct {
 	relay  *Relay
@@ -49,6 +54,8 @@
 	firstEventAt time.Time
 	lastEventAt  time.Time
 	eventCount   int
+	// answerRecorded is set when the answer was recorded as one that did not crash its target.
+	answerRecorded bool
 }
 
 // newAttempt counts an attempt before it is sent, so that concurrent choices take it into
@@ -69,6 +76,10 @@
 	if err != nil {
 		return err
 	}
+	if a.relay.Crashes.isMarked(time.Now(), a.req) {
+		a.relay.targetConns.put(time.Now(), c, 0)
+		return &MarkedError{}
+	}
 	a.conn = c
 	a.cancelClose = context.AfterFunc(ctx, func() { _ = c.Close() })
 	c.nextCheck, c.onSilence = nextCheck, onSilence
@@ -182,6 +193,9 @@
 	}
 	if complete && !a.info.NotRun {
 		a.relay.Crashes.recordServed(a.req)
+		if a.res.StatusCode < http.StatusMultipleChoices {
+			a.recordAnswer(now, a.answerBegunAt())
+		}
 	}
 	a.relay.instruments.recordAttempt(a.req, reason)
 	a.relay.Log.Write(now, timeline.Event{
@@ -190,6 +204,14 @@
 	})
 }
 
+// answerBegunAt returns when the answer began, as far as it is known.
+func (a *attempt) answerBegunAt() time.Time {
+	if a.firstEventAt.IsZero() {
+		return a.startedAt
+	}
+	return a.firstEventAt
+}
+
 // isUnanswered reports whether the target may have begun to run the request without having sent a response header.
 func (a *attempt) isUnanswered() bool { return a.sent && a.res == nil }
 
@@ -224,9 +246,16 @@
 	return errors.As(err, &e) && e.Timeout()
 }
 
+func isMarkedError(err error) bool {
+	marked := (*MarkedError)(nil)
+	return errors.As(err, &marked)
+}
+
 // lossReason returns the log's name for a connection error.
 func lossReason(err error) string {
 	switch e := (*ResponseError)(nil); {
+	case isMarkedError(err):
+		return codeCrashes
 	case errors.As(err, &e):
 		return e.Rule
 	case errors.Is(err, context.Canceled):
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -150,7 +150,7 @@
 	if result.notRun {
 		c.possibleRuns--
 		c.refusals++
-		if c.refusals < maxRefusals && time.Now().Before(c.req.deadline) && c.startAttempt(ctx, "refused_by_target") {
+		if now := time.Now(); c.refusals < maxRefusals && now.Before(c.req.deadline) && !c.relay.Crashes.isMarked(now, c.req) && c.startAttempt(ctx, "refused_by_target") {
 			return false
 		}
 	} else {
@@ -170,7 +170,10 @@
 func (c *callHandler) respondWithFailure() {
 	switch result := c.lastFailure; {
 	case result == nil:
-		refusal := c.req.backoffRefusal(time.Now())
+		refusal := c.relay.Crashes.refusal(time.Now(), c.req)
+		if refusal == nil {
+			refusal = c.req.backoffRefusal(time.Now())
+		}
 		if refusal == nil {
 			refusal = notRunRefusal(codeTargetsRefuse, jitter(allRefusedRetryAfter))
 		}
@@ -207,7 +210,7 @@
 	if result.err != nil {
 		// If the connection could not be established, nothing of the request was sent.
 		result.notRun = !a.sent
-		cancelled := errors.Is(ctx.Err(), context.Canceled)
+		cancelled := errors.Is(ctx.Err(), context.Canceled) || isMarkedError(result.err)
 		a.wentSilent = isSilence(result.err)
 		a.finish(now, engine.RequestResult{Unreachable: !cancelled && !a.pastDeadline(now), Cancelled: cancelled}, false, lossReason(result.err))
 		return result
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -22,25 +22,59 @@
 	markedRetryAfter = crashRetention
 )
 
-// CrashTracker tracks which requests crash the targets that run them, at this instance and at
-// others; set its exported field before the first request.
+// CrashTracker tracks which requests, and which parts of prompts, crash the targets that run them, at this
+// instance and at others; set its exported field before the first request.
 type CrashTracker struct {
 	// Broadcast sends a message to the other instances; it may be nil.
 	Broadcast func(data []byte) bool
 
 	mu      sync.Mutex
 	counter booking.CrashCounter
+	parts   partMarks
 }
 
-// crashMessage notifies other instances of a crash, or that a suspected request was served.
+// crashMessage notifies other instances of a crash, of answers that clear requests or parts, or of marks.
 type crashMessage struct {
-	Digest string `json:"digest"`
+	// Digest identifies the request that was lost, or served if Served is set.
+	Digest string `json:"digest,omitempty"`
 	// AgeMillis is the time since the crash, AttemptAgeMillis the time since the attempt began.
 	AgeMillis        int64 `json:"age_ms,omitempty"`
 	AttemptAgeMillis int64 `json:"begun_ms,omitempty"`
 	Served           bool  `json:"served,omitempty"`
+	// Target is the incarnation that crashed, and Parts the parts of the prompt, if they may be the cause.
+	Target string   `json:"target,omitempty"`
+	Parts  []string `json:"parts,omitempty"`
+	// ServedParts holds the time since the last answer to a request with a part began, in milliseconds.
+	ServedParts map[string]int64 `json:"served_parts,omitempty"`
+	Marks       []markMessage    `json:"marks,omitempty"`
 }
 
+// Validate reports whether a message can be used.
+func (m *crashMessage) Validate() error {
+	if m.Digest != "" && (m.AgeMillis < 0 || m.AttemptAgeMillis < m.AgeMillis || m.AttemptAgeMillis > maxReportAge.Milliseconds()) {
+		return &CrashMessageError{Field: "begun_ms"}
+	}
+	if len(m.Parts) > maxReportedParts {
+		return &CrashMessageError{Field: "parts"}
+	}
+	for _, age := range m.ServedParts {
+		if age < 0 || age > maxReportAge.Milliseconds() {
+			return &CrashMessageError{Field: "served_parts"}
+		}
+	}
+	for i := range m.Marks {
+		if err := m.Marks[i].Validate(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// CrashMessageError reports which field of a crash message can't be used.
+type CrashMessageError struct{ Field string }
+
+func (e *CrashMessageError) Error() string { return "crash message: " + e.Field }
+
 // digest identifies a request by its API key, host, method, request target and body.
 func (req *callerRequest) digest() string {
 	h := xxhash.New()
@@ -51,11 +85,23 @@
 	return strconv.FormatUint(h.Sum64(), 16)
 }
 
-// isMarked reports whether a request is refused because it crashes targets.
+// isMarked reports whether a request is refused because it or a part of its prompt crashes targets.
 func (c *CrashTracker) isMarked(now time.Time, req *callerRequest) bool {
+	return c.refusal(now, req) != nil
+}
+
+// refusal returns the refusal of a request that crashes targets, or whose prompt has a part that does, or
+// nil.
+func (c *CrashTracker) refusal(now time.Time, req *callerRequest) *Refusal {
+	if refusal := c.partRefusal(now, req); refusal != nil {
+		return refusal
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.counter.Empty() && c.counter.IsMarked(now, req.digest())
+	if c.counter.Empty() || !c.counter.IsMarked(now, req.digest()) {
+		return nil
+	}
+	return notRunRefusal(codeCrashes, markedRetryAfter)
 }
 
 // recordCrash records a crash and reports whether it marks the request.
@@ -72,11 +118,11 @@
 	suspected := !c.counter.Empty() && c.counter.RecordSuccess(req.digest())
 	c.mu.Unlock()
 	if suspected {
-		c.broadcast(crashMessage{Digest: req.digest(), Served: true})
+		c.broadcast(&crashMessage{Digest: req.digest(), Served: true})
 	}
 }
 
-func (c *CrashTracker) broadcast(message crashMessage) {
+func (c *CrashTracker) broadcast(message *crashMessage) {
 	if data, err := json.Marshal(message); err == nil && c.Broadcast != nil {
 		c.Broadcast(data)
 	}
@@ -85,16 +131,24 @@
 // HandleMessage processes a message from another instance.
 func (c *CrashTracker) HandleMessage(now time.Time, data []byte) {
 	message := crashMessage{}
-	if json.Unmarshal(data, &message) != nil || message.Digest == "" || message.AgeMillis < 0 || message.AttemptAgeMillis < message.AgeMillis {
+	if json.Unmarshal(data, &message) != nil || message.Validate() != nil {
 		return
 	}
-	if message.Served {
+	switch {
+	case message.Digest == "":
+	case message.Served:
 		c.mu.Lock()
-		defer c.mu.Unlock()
 		c.counter.RecordSuccess(message.Digest)
-		return
+		c.mu.Unlock()
+	default:
+		c.recordCrash(millisBefore(now, message.AgeMillis), millisBefore(now, message.AttemptAgeMillis), message.Digest)
 	}
-	c.recordCrash(now.Add(-time.Duration(message.AgeMillis)*time.Millisecond), now.Add(-time.Duration(message.AttemptAgeMillis)*time.Millisecond), message.Digest)
+	c.applyParts(now, &message)
+}
+
+// millisBefore returns the time some milliseconds before now.
+func millisBefore(now time.Time, ms int64) time.Time {
+	return now.Add(-time.Duration(ms) * time.Millisecond)
 }
 
 // checkForCrash checks whether a target that lost a request has crashed, and counts the crash
@@ -115,14 +169,40 @@
 			return
 		}
 		digest := a.req.digest()
-		marked := r.Crashes.recordCrash(lostAt, a.startedAt, digest)
-		r.Crashes.broadcast(crashMessage{Digest: digest, AgeMillis: time.Since(lostAt).Milliseconds(), AttemptAgeMillis: time.Since(a.startedAt).Milliseconds()})
-		if marked {
+		if r.Crashes.recordCrash(lostAt, a.startedAt, digest) {
 			r.Log.Write(time.Now(), timeline.Event{Kind: "request_marked", Request: a.req.ID, Target: a.target.ID, Decision: "refuse", Why: codeCrashes})
 		}
+		message := crashMessage{Digest: digest}
+		if parts := a.suspectParts(lostAt); len(parts) > 0 && r.Crashes.recordPartCrash(time.Now(), booking.PartCrash{Target: a.target.ID, At: lostAt, Request: digest, Parts: parts}) {
+			message.Target, message.Parts = a.target.ID, parts
+		}
+		for _, pause := range crashReportPauses {
+			if !sleepFor(r.probeContext, pause) {
+				return
+			}
+			now := time.Now()
+			message.AgeMillis, message.AttemptAgeMillis = now.Sub(lostAt).Milliseconds(), now.Sub(a.startedAt).Milliseconds()
+			r.Crashes.broadcast(&message)
+		}
 	})
 }
 
+// crashReportPauses are the pauses before a crash is reported to the other instances and reported again,
+// since datagrams are lost.
+var crashReportPauses = []time.Duration{0, 300 * time.Millisecond, time.Second}
+
+// sleepFor waits for a time and reports whether it has passed before ctx ended.
+func sleepFor(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // logCrashCheck logs what a new connection to a target that lost a request has shown.
 func (r *Relay) logCrashCheck(now time.Time, a *attempt, lostAt time.Time, err error) {
 	kind, why := "target_crashed", "connection_refused"
--- /dev/null
+++ b/internal/relay/mark_keeper_test.go
@@ -0,0 +1,170 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bambooferry.example/bambooferry/internal/feed"
+	"bambooferry.example/bambooferry/pkg/timeline"
+)
+
+// markStoreStub holds one key.
+type markStoreStub struct {
+	mu   sync.Mutex
+	item feed.Item
+}
+
+func (s *markStoreStub) Commit(_ context.Context, conditions []feed.Condition, writes []feed.Write) (feed.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if conditions[0].Revision != s.item.Revision {
+		return feed.Version{}, &feed.ConflictError{Key: conditions[0].Key}
+	}
+	s.item = feed.Item{Key: writes[0].Key, Value: writes[0].Value, Revision: s.item.Revision + 7}
+	return feed.Version{Revision: s.item.Revision}, nil
+}
+
+// update returns the whole content.
+func (s *markStoreStub) update(restored bool) feed.Update {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := feed.Update{Full: true, Restored: restored}
+	if s.item.Revision > 0 {
+		u.Changed = []feed.Item{s.item}
+	}
+	return u
+}
+
+func newMarkKeeper(s *markStoreStub) *MarkKeeper {
+	return &MarkKeeper{Store: s, Key: "marks", Tracker: &CrashTracker{}, IsWriter: func() bool { return true }, Log: &timeline.Writer{Out: &eventLog{}, Clock: &timeline.Clock{}}}
+}
+
+func (k *MarkKeeper) knownParts(now time.Time) (parts []string) {
+	for _, m := range k.Tracker.markMessages(now) {
+		parts = append(parts, m.Part)
+	}
+	return parts
+}
+
+// Guards against instances that start after a mark was set, or after the loss of all instances, and do not
+// know it.
+func TestMarksSurviveTheLossOfAllInstances(t *testing.T) {
+	ctx, now, store := context.Background(), time.Now(), &markStoreStub{}
+	k := newMarkKeeper(store)
+	k.Apply(now, store.update(false))
+	k.write(ctx, now)
+	require.Zero(t, store.item.Revision, "nothing is written while there is no mark")
+	k.Tracker.HandleMessage(now, []byte(`{"marks":[{"part":"bad","crashes":3,"first_ms":900,"last_ms":100}]}`))
+	k.write(ctx, now)
+	k.Apply(now, store.update(false))
+
+	next := newMarkKeeper(store)
+	next.Apply(now, store.update(false))
+	require.Equal(t, []string{"bad"}, next.knownParts(now))
+	require.NotNil(t, next.Tracker.refusal(now, &callerRequest{RequestInfo: RequestInfo{PromptParts: []PromptPart{{ID: "a"}, {ID: "bad"}, {ID: "own"}}}}))
+	require.Nil(t, next.Tracker.partRefusal(now, &callerRequest{RequestInfo: RequestInfo{PromptParts: []PromptPart{{ID: "a"}, {ID: "bad"}}}}), "the last part is the request's own")
+
+	// A part that was unmarked by one instance is unmarked at all.
+	k.Tracker.HandleMessage(now, []byte(`{"served_parts":{"bad":50}}`))
+	require.Empty(t, k.knownParts(now))
+	k.write(ctx, now)
+	next.Apply(now, store.update(false))
+	require.Empty(t, next.knownParts(now))
+}
+
+// Guards against marks that are lost when the store is restored from a copy without them.
+func TestMarksAreWrittenAgainAfterARestore(t *testing.T) {
+	ctx, now, store := context.Background(), time.Now(), &markStoreStub{}
+	k := newMarkKeeper(store)
+	k.Apply(now, store.update(false))
+	k.Tracker.HandleMessage(now, []byte(`{"marks":[{"part":"bad","crashes":3,"first_ms":900,"last_ms":100}]}`))
+	k.write(ctx, now)
+	k.Apply(now, store.update(false))
+	store.item = feed.Item{}
+	k.Apply(now, store.update(true))
+	require.Equal(t, []string{"bad"}, k.knownParts(now))
+	k.write(ctx, now)
+	require.Contains(t, string(store.item.Value), "bad")
+	store.item.Value = []byte("{")
+	k.Apply(now, store.update(false))
+	require.Equal(t, []string{"bad"}, k.knownParts(now), "a value that can't be read changes nothing")
+}
+
+// Guards against malformed messages that are applied in part.
+func TestMalformedPartMessages(t *testing.T) {
+	tracker := &CrashTracker{}
+	for _, bad := range []string{
+		`{"marks":[{"part":"bad","crashes":3,"first_ms":100,"last_ms":900}]}`, `{"marks":[{"part":"","crashes":3}]}`, `{"marks":[{"part":"bad"}]}`,
+		`{"marks":[{"part":"bad","crashes":3,"first_ms":99999999999,"last_ms":900}]}`, `{"served_parts":{"bad":-1}}`, `{"marks":3}`,
+	} {
+		tracker.HandleMessage(time.Now(), []byte(bad))
+	}
+	require.Empty(t, tracker.markMessages(time.Now()))
+}
+
+// Guards against requests that were sent before their part was marked and go on to crash their engines, and
+// against engines that are blamed for the end of these requests.
+func TestMarkEndsRequestsThatWereNotBegun(t *testing.T) {
+	closed := make(chan struct{})
+	e := startStub(t, "e1", func(c net.Conn, _ *http.Request, _ string) bool {
+		_, _ = c.Read(make([]byte, 1))
+		close(closed)
+		return false
+	})
+	tr := startRelay(t, e)
+	go func() {
+		time.Sleep(300 * time.Millisecond)
+		tr.relay.Crashes.HandleMessage(time.Now(), []byte(`{"marks":[{"part":"bad","crashes":3,"first_ms":900,"last_ms":100}]}`))
+	}()
+	got := tr.request("POST", "/draft/1", "", "Parts", "a,bad,own")
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusBadGateway, got.status, "it may have run")
+	require.Contains(t, got.body, codePartCrashes)
+	require.Contains(t, got.body, `"part":"bad"`)
+	select {
+	case <-closed:
+	case <-time.After(time.Second):
+		t.Fatal("the engine still has the request")
+	}
+	require.Equal(t, []string{"e1"}, openTargetIDs(tr, time.Now()))
+
+	startedAt := time.Now()
+	got = tr.request("POST", "/draft/1", "", "Parts", "a,bad,own2")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Contains(t, got.body, "not_run")
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+	require.Less(t, time.Since(startedAt), 200*time.Millisecond)
+	require.Len(t, e.seenRequests(), 1)
+}
+
+// openTargetIDs returns the targets that are not counted as lost.
+func openTargetIDs(tr *testRelay, now time.Time) (ids []string) {
+	p := tr.relay.Targets.pool("p")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range p.targets {
+		if !p.losses.lostRecently(now, t.ID) {
+			ids = append(ids, t.ID)
+		}
+	}
+	return ids
+}
+
+// Guards against a request that waits for a connection while its part is marked, and is sent then.
+func TestMarkedRequestIsNotSent(t *testing.T) {
+	e := startStub(t, "e1", func(c net.Conn, r *http.Request, _ string) bool { return writeResponse(c, r, 200, "fine", "Seal: s") })
+	tr := startRelay(t, e)
+	tr.relay.Crashes.applyStored(time.Now(), []markMessage{{Part: "bad", Crashes: 3, FirstMillis: 9, LastMillis: 1}}, nil)
+	a := &attempt{relay: tr.relay, req: &callerRequest{RequestInfo: RequestInfo{PromptParts: []PromptPart{{ID: "bad"}, {ID: "own"}}}}}
+	a.target.Address = e.address
+	err := a.sendRequest(context.Background(), AttemptInfo{}, time.Now().Add(time.Second), nil)
+	require.True(t, isMarkedError(err))
+	require.False(t, a.sent)
+	require.Empty(t, e.seenRequests())
+}
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -28,6 +28,8 @@
 	codeTargetLost    = "target_lost"
 	codeBadAnswer     = "bad_answer"
 	codeCrashes       = "crashes_targets"
+	// codePartCrashes says that a part of the prompt crashes the targets that answer requests with it.
+	codePartCrashes = "part_crashes_targets"
 	// codeTargetsBackOff says that all targets have asked this instance to send nothing for a time.
 	codeTargetsBackOff = "targets_back_off"
 )
@@ -51,6 +53,8 @@
 	// RetryAfter is when a retry makes sense, or 0.
 	RetryAfter time.Duration `json:"-"`
 	RequestID  string        `json:"request_id,omitempty"`
+	// Part is the part of the prompt that is the reason, or empty.
+	Part string `json:"part,omitempty"`
 }
 
 // notRunRefusal returns a refusal of a request of which no byte was sent, or which its targets did
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -66,8 +66,8 @@
 		r.refuse(w, req, notRunRefusal(codeStopping, stoppingRetryAfter))
 		return
 	}
-	if r.Crashes.isMarked(now, req) {
-		r.refuse(w, req, notRunRefusal(codeCrashes, markedRetryAfter))
+	if refusal := r.Crashes.refusal(now, req); refusal != nil {
+		r.refuse(w, req, refusal)
 		return
 	}
 	ctx, cancel := r.contextOf(req)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -175,6 +175,10 @@
 	if current == nil || st.ctx.Err() != nil {
 		return time.Time{}, false
 	}
+	if current.firstEventAt.IsZero() && st.relay.Crashes.isMarked(now, st.req) {
+		st.endMarkedAttempt(current)
+		return time.Time{}, false
+	}
 	ev := generation.Event{Kind: generation.Ticked}
 	if current.firstEventAt.IsZero() && st.req.pool.lostSince(now, current.target.ID, current.startedAt) {
 		ev = generation.Event{Kind: generation.Suspected, Attempt: current.number, Target: current.target.ID, Reason: reasonLostByOthers}
@@ -186,6 +190,16 @@
 	return st.nextCheck(now), true
 }
 
+// endMarkedAttempt ends an attempt that was sent before its request was found to crash targets, and whose
+// target has not begun to answer.
+func (st *streamHandler) endMarkedAttempt(current *attempt) {
+	if current.isUnanswered() {
+		st.acceptedCount++
+	}
+	st.aborted = true
+	st.endAttempt(engine.RequestResult{Cancelled: true}, false, codeCrashes)
+}
+
 // nextCheck returns when a read is to be interrupted for the next check.
 func (st *streamHandler) nextCheck(now time.Time) time.Time {
 	wake := st.gen.NextTick()
@@ -244,6 +258,9 @@
 		current.firstEventAt = now
 		st.req.pool.recordFirstOutput(current.target)
 	}
+	if current.eventCount >= soundAnswerEvents && now.Sub(current.firstEventAt) >= suspectAnswerTime {
+		current.recordAnswer(now, current.firstEventAt)
+	}
 	st.performActions(st.gen.Step(now, generation.Event{Kind: generation.TokenReceived, Attempt: current.number, Position: id - st.idOffset, Text: string(raw)}))
 }
 
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -98,6 +98,10 @@
 	}
 	ev := generation.Event{Attempt: current.number, Target: current.target.ID, Reason: attemptReason(err)}
 	switch {
+	case isMarkedError(err):
+		st.aborted = true
+		st.endAttempt(engine.RequestResult{Cancelled: true}, false, codeCrashes)
+		return
 	case err != nil && !current.sent:
 		ev.Kind = generation.Unreachable
 		current.wentSilent = isSilence(err)
--- a/internal/relay/stream_end.go
+++ b/internal/relay/stream_end.go
@@ -46,7 +46,12 @@
 // refusal returns the response to a stream of which nothing was sent.
 func (st *streamHandler) refusal() *Refusal {
 	interrupted := interruptedRefusal(st.ctx)
+	marked := st.relay.Crashes.refusal(time.Now(), st.req)
 	switch {
+	case marked != nil && st.acceptedCount > 0:
+		return &Refusal{Status: http.StatusBadGateway, Code: marked.Code, Outcome: generation.Unknown, Part: marked.Part}
+	case marked != nil:
+		return marked
 	case st.backoffRefusal != nil:
 		return st.backoffRefusal
 	case st.acceptedCount == 0 && st.refusals > 0:
--- /dev/null
+++ b/pkg/booking/partcrash_model_test.go
@@ -0,0 +1,352 @@
+package booking
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/time/rate"
+)
+
+// partModel simulates instances, each with a detector, that send requests to engines and exchange reports
+// over a network that loses messages.
+type partModel struct {
+	rng       *rand.Rand
+	now       time.Time
+	detectors []*PartCrashDetector
+	engines   []*modelEngine
+	// network holds the messages by the tick in which they arrive.
+	network  map[time.Time][]modelMessage
+	lossRate float64
+	nextID   int
+	// newParts returns the parts of a sound prompt, without its last one.
+	newParts func(m *partModel) []string
+	// guilty holds the parts that crash engines, poison the requests that do by their own text.
+	guilty map[string]bool
+	poison map[string]bool
+	// allCrash makes each answer crash its engine.
+	allCrash bool
+
+	// told holds the parts that each instance has reported as served.
+	told []map[string]bool
+	// limits bound the reports of each instance.
+	limits []*rate.Limiter
+
+	crashes     []time.Time
+	badArrivals []time.Time
+}
+
+type modelEngine struct {
+	incarnation int
+	upAt        time.Time
+	runs        []*modelRun
+}
+
+type modelRun struct {
+	instance int
+	request  string
+	parts    []string
+	attempts int
+	beginsAt time.Time
+	proved   bool
+}
+
+type modelMessage struct {
+	to      int
+	deliver func(to int, d *PartCrashDetector)
+}
+
+const (
+	modelTick     = 10 * time.Millisecond
+	modelPrefill  = 1200 * time.Millisecond
+	modelAnswer   = 3 * time.Second
+	modelDowntime = 5 * time.Second
+)
+
+func newPartModel(seed uint64, instances, engines int) *partModel {
+	m := &partModel{network: map[time.Time][]modelMessage{}, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), lossRate: 0.1, guilty: map[string]bool{}, poison: map[string]bool{}}
+	for range instances {
+		m.detectors = append(m.detectors, &PartCrashDetector{Retention: 10 * time.Minute, MarkTime: 10 * time.Minute})
+		m.limits = append(m.limits, rate.NewLimiter(10, 20))
+		m.told = append(m.told, map[string]bool{})
+	}
+	for range engines {
+		m.engines = append(m.engines, &modelEngine{})
+	}
+	m.newParts = func(m *partModel) []string { return []string{fmt.Sprintf("shared-%d", m.rng.IntN(5000))} }
+	return m
+}
+
+// broadcast delivers a message to all other instances, repeated twice, with losses.
+func (m *partModel) broadcast(from int, deliver func(to int, d *PartCrashDetector)) {
+	for to := range m.detectors {
+		if to == from {
+			continue
+		}
+		for _, delay := range []time.Duration{20 * time.Millisecond, 320 * time.Millisecond, 1320 * time.Millisecond} {
+			if m.rng.Float64() >= m.lossRate {
+				at := m.now.Add(delay)
+				m.network[at] = append(m.network[at], modelMessage{to, deliver})
+			}
+		}
+	}
+}
+
+func (m *partModel) announce(from int, marks []PartMark) {
+	for _, mark := range marks {
+		m.broadcast(from, func(_ int, d *PartCrashDetector) { d.Mark(m.now, mark) })
+	}
+}
+
+func (m *partModel) reportServed(from int, part string, at time.Time) {
+	m.broadcast(from, func(_ int, d *PartCrashDetector) { d.RecordServed(m.now, at, part) })
+}
+
+// reportCrash reports that a run was lost.
+func (m *partModel) reportCrash(run *modelRun, target string, at time.Time) {
+	if begun := m.now.Sub(run.beginsAt); begun > time.Second {
+		return
+	}
+	if !m.limits[run.instance].AllowN(m.now, 1) {
+		return
+	}
+	crash := PartCrash{Target: target, At: at, Request: run.request, Parts: run.parts}
+	record := func(to int, d *PartCrashDetector) {
+		d.RecordCrash(m.now, crash)
+		for _, part := range crash.Parts {
+			if at, ok := d.LastServed(m.now, part); ok && !m.told[to][part] {
+				m.told[to][part] = true
+				m.reportServed(to, part, at)
+			}
+		}
+	}
+	record(run.instance, m.detectors[run.instance])
+	m.broadcast(run.instance, record)
+}
+
+// send gives a request to an engine unless it is refused.
+func (m *partModel) send(run *modelRun) {
+	d := m.detectors[run.instance]
+	if mark, ok := d.Marked(m.now, run.parts); ok {
+		d.RecordRefusal(m.now, mark.Part)
+		return
+	}
+	var up []*modelEngine
+	for _, e := range m.engines {
+		if !m.now.Before(e.upAt) {
+			up = append(up, e)
+		}
+	}
+	if len(up) == 0 || run.attempts >= 5 {
+		return
+	}
+	if m.isBad(run) {
+		m.badArrivals = append(m.badArrivals, m.now)
+	}
+	run.attempts++
+	run.proved = false
+	run.beginsAt = m.now.Add(modelPrefill*3/4 + time.Duration(m.rng.Int64N(int64(modelPrefill/2))))
+	e := up[m.rng.IntN(len(up))]
+	e.runs = append(e.runs, run)
+}
+
+func (m *partModel) isBad(run *modelRun) bool {
+	return m.allCrash || m.poison[run.request] || slices.ContainsFunc(run.parts, func(p string) bool { return m.guilty[p] })
+}
+
+// arrive adds a request at a random instance.
+func (m *partModel) arrive(parts []string) {
+	m.nextID++
+	m.send(&modelRun{instance: m.rng.IntN(len(m.detectors)), request: fmt.Sprintf("request-%d", m.nextID), parts: parts})
+}
+
+func (m *partModel) crash(i int) {
+	e := m.engines[i]
+	target, runs := fmt.Sprintf("engine-%d-%d", i, e.incarnation), e.runs
+	e.incarnation++
+	e.upAt, e.runs = m.now.Add(modelDowntime), nil
+	m.crashes = append(m.crashes, m.now)
+	for _, run := range runs {
+		m.reportCrash(run, target, m.now.Add(time.Duration(m.rng.IntN(20))*time.Millisecond))
+	}
+	for _, run := range runs {
+		m.send(run)
+	}
+}
+
+// crashShare crashes a share of the engines at once.
+func (m *partModel) crashShare(share float64) {
+	for i, e := range m.engines {
+		if !m.now.Before(e.upAt) && m.rng.Float64() < share {
+			m.crash(i)
+		}
+	}
+}
+
+// run advances the model; soundRate is the number of sound requests a second, and badRate that of requests with
+// each guilty part beside the parts of a sound one.
+func (m *partModel) run(d time.Duration, soundRate, badRate float64) {
+	for end := m.now.Add(d); m.now.Before(end); m.now = m.now.Add(modelTick) {
+		for _, message := range m.network[m.now] {
+			message.deliver(message.to, m.detectors[message.to])
+		}
+		delete(m.network, m.now)
+		for i, d := range m.detectors {
+			m.announce(i, d.Decide(m.now))
+		}
+		for range m.count(soundRate) {
+			m.arrive(m.newParts(m))
+		}
+		for part := range m.guilty {
+			for range m.count(badRate) {
+				parts := m.newParts(m)
+				m.arrive(slices.Insert(parts, m.rng.IntN(len(parts)+1), part))
+			}
+		}
+		for i, e := range m.engines {
+			for _, run := range e.runs {
+				if m.isBad(run) && m.now.Sub(run.beginsAt) >= 50*time.Millisecond {
+					m.crash(i)
+					break
+				}
+			}
+			e.runs = slices.DeleteFunc(e.runs, func(run *modelRun) bool {
+				if !run.proved && m.now.Sub(run.beginsAt) >= time.Second {
+					run.proved = true
+					for _, part := range m.detectors[run.instance].RecordAnswer(m.now, run.beginsAt, run.parts) {
+						m.reportServed(run.instance, part, run.beginsAt)
+					}
+				}
+				return m.now.Sub(run.beginsAt) >= modelAnswer
+			})
+		}
+	}
+}
+
+func (m *partModel) count(perSecond float64) int {
+	expected := perSecond * modelTick.Seconds()
+	n := int(expected)
+	if m.rng.Float64() < expected-float64(n) {
+		n++
+	}
+	return n
+}
+
+// marks returns the parts that any instance has marked.
+func (m *partModel) marks() (parts []string) {
+	for _, d := range m.detectors {
+		for _, mark := range d.Marks(m.now) {
+			if !slices.Contains(parts, mark.Part) {
+				parts = append(parts, mark.Part)
+			}
+		}
+	}
+	return parts
+}
+
+// lateArrivals counts the bad requests that reached engines later than 3 s after the fifth crash.
+func (m *partModel) lateArrivals() int {
+	if len(m.crashes) < 5 {
+		return 0
+	}
+	late := 0
+	for _, at := range m.badArrivals {
+		if at.After(m.crashes[4].Add(3 * time.Second)) {
+			late++
+		}
+	}
+	return late
+}
+
+var partModelSizes = []struct {
+	name               string
+	instances, engines int
+	rate               float64
+	seeds              int
+}{
+	{"8 instances", 8, 36, 10, 40},
+	{"30 instances", 30, 120, 40, 10},
+	{"295 instances", 295, 300, 100, 1},
+}
+
+// modelSeeds returns the number of seeds of a size: with the race detector one, and none of the largest size.
+func modelSeeds(instances, seeds int) int {
+	switch {
+	case !raceDetector:
+		return seeds
+	case instances > 100:
+		return 0
+	}
+	return 1
+}
+
+var partDistributions = map[string]func(m *partModel) []string{
+	"rare": func(m *partModel) []string { return []string{fmt.Sprintf("shared-%d", m.rng.IntN(5000))} },
+	"skewed": func(m *partModel) []string {
+		return []string{"system", fmt.Sprintf("tenant-%d", int(m.rng.ExpFloat64()*4)), fmt.Sprintf("document-%d", m.rng.IntN(300))}
+	},
+	"one": func(*partModel) []string { return []string{"system"} },
+}
+
+// Guards against a guilty part that is not found in time, and against sound ones that are refused beside it.
+func TestGuiltyPartIsFoundInTime(t *testing.T) {
+	for _, size := range partModelSizes {
+		for name, newParts := range partDistributions {
+			t.Run(size.name+" "+name, func(t *testing.T) {
+				worstCrashes, worstLate := 0, 0
+				for seed := range modelSeeds(size.instances, size.seeds) {
+					m := newPartModel(uint64(seed), size.instances, size.engines)
+					m.newParts = newParts
+					m.run(8*time.Second, size.rate, 0)
+					m.guilty["guilty"] = true
+					m.run(15*time.Second, size.rate, 5)
+					require.Equal(t, []string{"guilty"}, m.marks(), "seed %d", seed)
+					worstCrashes, worstLate = max(worstCrashes, len(m.crashes)), max(worstLate, m.lateArrivals())
+				}
+				t.Logf("at most %d crashes, %d late requests", worstCrashes, worstLate)
+				require.LessOrEqual(t, worstLate, 3)
+			})
+		}
+	}
+}
+
+// Guards against parts that are refused though they are not to blame for the loss of targets.
+func TestSoundPartsAreNotMarked(t *testing.T) {
+	for _, size := range partModelSizes {
+		for name, newParts := range partDistributions {
+			if size.instances > 100 && name != "rare" {
+				continue
+			}
+			for fault, cause := range map[string]func(m *partModel){
+				"a third lost at once": func(m *partModel) { m.crashShare(1.0 / 3); m.run(6*time.Second, size.rate, 0) },
+				"thirds lost one after the other": func(m *partModel) {
+					for range 4 {
+						m.crashShare(1.0 / 3)
+						m.run(1200*time.Millisecond, size.rate, 0)
+					}
+				},
+				"a request's own text": func(m *partModel) {
+					m.poison["poison"] = true
+					for parts, n := m.newParts(m), 0; n < 3; n++ {
+						// It is refused after its third crash.
+						m.send(&modelRun{instance: m.rng.IntN(len(m.detectors)), request: "poison", parts: parts, attempts: 4})
+						m.run(2*time.Second, size.rate, 0)
+					}
+				},
+			} {
+				t.Run(size.name+" "+name+" "+fault, func(t *testing.T) {
+					for seed := range modelSeeds(size.instances, size.seeds) {
+						m := newPartModel(uint64(seed), size.instances, size.engines)
+						m.newParts = newParts
+						m.run(8*time.Second, size.rate, 0)
+						cause(m)
+						require.Empty(t, m.marks(), "seed %d", seed)
+					}
+				})
+			}
+		}
+	}
+}
