--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -231,13 +231,19 @@
 }
 
 func startRelay(t *testing.T, stubs ...*engineStub) *testRelay {
+	t.Helper()
+	return startRelayOf(t, 1, 0, stubs...)
+}
+
+// startRelayOf starts the relay with an index among some instances.
+func startRelayOf(t *testing.T, instances, index int, stubs ...*engineStub) *testRelay {
 	t.Helper()
 	callerListener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	readinessListener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	board := blackboard.New()
-	targets := &TargetRegistry{DataCentre: "a", RetryRatio: 0.5, RetrySlack: 20, RetryWindow: 10 * time.Second, Instances: func() int { return 1 }, Seed: 1}
+	targets := &TargetRegistry{DataCentre: "a", RetryRatio: 0.5, RetrySlack: 20, RetryWindow: 10 * time.Second, Instances: func() int { return instances }, Seed: uint64(index) + 1}
 	table := testRelayTable()
 	var list []route.Target
 	for i, s := range stubs {
