Keep the limits that engines name for all instances together

Cause: nothing read Server-Limit. Class: a statement of a target that is not translated, as once with Server-Leaving.

Change: route.RateLimits holds the newest statement of each incarnation. One instance more than the limit in requests a second uses the engine, by rendezvous hash, each at an equal share with 1.5 requests and half a second of its rate saved at most; the others send it none, and an instance that does not know itself listed is no user. Each choice of a target counts against the share: first attempts, retries, hedges, resumes and probes, also refused ones. Statements go to the other instances with the progress messages, with their age and incarnation. If all engines are limited, the refusal names the time of the next request.

Why it works: n users with full buckets and their rates stay under 6 x limit + 2 in 4 s, where 6 x limit + 5 are allowed, without any message.

Test red before: TestLimitedEngineGetsNoMoreThanItsLimit, 3 of 3 runs: 81 to 83 requests in 4 s, 23 allowed. Now 13, and 18 in 6 s, 3 of 3 runs.

Ruled out: a share for each of n instances (one request in two minutes at 295, and 295 at once after a pause); shares by demand (what others need is known hundreds of milliseconds late).

--- a/internal/feed/membership.go
+++ b/internal/feed/membership.go
@@ -128,6 +128,24 @@
 	return lowerHashes < readerCount
 }
 
+// IsAmong reports whether this instance is one of n instances for a key: those with the lowest hashes of
+// their keys and the key. An instance that is not listed is none.
+func (m *Membership) IsAmong(key string, n int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	selfKey := m.KeyPrefix + m.Self.String()
+	if _, ok := m.members[selfKey]; !ok {
+		return false
+	}
+	selfHash, lowerHashes := xxhash.Sum64String(key+selfKey), 0
+	for other := range m.members {
+		if other != selfKey && xxhash.Sum64String(key+other) < selfHash {
+			lowerHashes++
+		}
+	}
+	return lowerHashes < n
+}
+
 // ReaderAddresses returns the addresses of the instances that read the store for all, without this one's.
 func (m *Membership) ReaderAddresses() []netip.AddrPort {
 	m.mu.Lock()
--- a/internal/gossip/progress.go
+++ b/internal/gossip/progress.go
@@ -38,6 +38,19 @@
 	LeavingTargets map[string]int64 `json:"leaving,omitempty"`
 	// BackoffMillis holds how long targets want no further requests from this instance.
 	BackoffMillis map[string]int64 `json:"backoff_ms,omitempty"`
+	// Limits holds what targets have recently stated to this instance about the requests that they take.
+	Limits map[string]LimitStatement `json:"limits,omitempty"`
+}
+
+// LimitStatement is what a target has stated about the requests that it takes from all instances together.
+type LimitStatement struct {
+	// PerSecond is the number of requests a second; it is not stated any more if Ended is set.
+	PerSecond float64 `json:"per_s"`
+	Ended     bool    `json:"ended,omitempty"`
+	// AgeMillis is the time since the statement, StartedMillis the start of the target's incarnation in Unix
+	// milliseconds.
+	AgeMillis     int64 `json:"age_ms"`
+	StartedMillis int64 `json:"started_ms"`
 }
 
 type progressMessage struct {
@@ -74,7 +87,7 @@
 			return ctx.Err()
 		}
 		m := progressMessage{Instance: x.Instance, Progress: x.LocalProgress(time.Now())}
-		empty = len(m.InProgress)+len(m.AttemptCounts)+len(m.Successors)+len(m.LeavingTargets)+len(m.BackoffMillis) == 0
+		empty = len(m.InProgress)+len(m.AttemptCounts)+len(m.Successors)+len(m.LeavingTargets)+len(m.BackoffMillis)+len(m.Limits) == 0
 		if err := x.broadcast(&m); err != nil {
 			return err
 		}
@@ -89,7 +102,7 @@
 }
 
 // broadcast sends a message; if it is too long, it first omits the backoffs, the silent and replaced targets
-// and the successors, and then the requests in progress: leaving targets must reach the others.
+// and the successors, and then the requests in progress: leaving and limited targets must reach the others.
 func (x *ProgressExchange) broadcast(m *progressMessage) error {
 	for {
 		data, err := json.Marshal(m)
@@ -101,7 +114,7 @@
 			return nil
 		case len(m.SilentTargets)+len(m.ReplacedTargets)+len(m.Successors)+len(m.BackoffMillis) > 0:
 			m.SilentTargets, m.ReplacedTargets, m.Successors, m.BackoffMillis = nil, nil, nil, nil
-		case len(m.LeavingTargets) > 0 && len(m.InProgress) > 0:
+		case len(m.LeavingTargets)+len(m.Limits) > 0 && len(m.InProgress) > 0:
 			m.InProgress = nil
 		default:
 			return nil
--- a/internal/relay/availability.go
+++ b/internal/relay/availability.go
@@ -22,7 +22,7 @@
 // isOpen reports whether new requests may be sent to a target; the caller holds mu.
 func (p *pool) isOpen(now time.Time, t *route.Target) bool {
 	_, replaced := p.replaced[t.ID]
-	return !replaced && !t.Leaving && !p.availability.IsLeaving(*t) && p.availability.BackoffEnd(now, t.ID).IsZero()
+	return !replaced && !t.Leaving && !p.availability.IsLeaving(*t) && p.availability.BackoffEnd(now, t.ID).IsZero() && p.limitWait(now, *t) == 0
 }
 
 // addStatements adds what the pool's targets have stated to this instance; the caller holds mu.
@@ -72,25 +72,28 @@
 	p.signalProgress()
 }
 
-// backoffEnd returns when the first of the pool's targets wants requests again, if all targets that are not
-// leaving want none now.
-func (p *pool) backoffEnd(now time.Time) (end time.Time, ok bool) {
+// backoffEnd returns when the first of the pool's targets takes requests again, if all targets that are not
+// leaving take none now, and whether that is because of its limit.
+func (p *pool) backoffEnd(now time.Time) (end time.Time, limited bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := range p.targets {
 		t := &p.targets[i]
-		until := p.availability.BackoffEnd(now, t.ID)
 		if _, replaced := p.replaced[t.ID]; replaced || t.Leaving || p.availability.IsLeaving(*t) {
 			continue
 		}
+		until, byLimit := p.availability.BackoffEnd(now, t.ID), false
+		if wait := p.limitWait(now, *t); wait > 0 && now.Add(wait).After(until) {
+			until, byLimit = now.Add(wait), true
+		}
 		if until.IsZero() {
 			return time.Time{}, false
 		}
 		if end.IsZero() || until.Before(end) {
-			end = until
+			end, limited = until, byLimit
 		}
 	}
-	return end, !end.IsZero()
+	return end, limited
 }
 
 // recordStatements records what the target's response states about new requests.
@@ -104,6 +107,7 @@
 		r.instruments.recordStatement("leaving")
 		r.Log.Write(now, timeline.Event{Kind: "target_leaving", Request: a.req.ID, Target: id, Entry: a.target.Pool, Why: "said_by_target", Decision: "left_out"})
 	}
+	a.recordLimit(now)
 	if d := a.info.Backoff; d > 0 {
 		p.recordBackoff(now, a.target.ID, d)
 		r.instruments.recordStatement("backoff")
@@ -122,14 +126,18 @@
 	}
 }
 
-// backoffRefusal returns the refusal of a request that no target wants now, with the time at which the first
-// one does, or nil if that is not the reason.
-func (req *callerRequest) backoffRefusal(now time.Time) *Refusal {
-	end, ok := req.pool.backoffEnd(now)
-	if !ok {
+// backoffRefusal returns the refusal of a request that no target takes now, with the time at which the first
+// one does, or nil if that is not the reason. Within patience, the request waits for a target's limit.
+func (req *callerRequest) backoffRefusal(now time.Time, patience time.Duration) *Refusal {
+	end, limited := req.pool.backoffEnd(now)
+	if end.IsZero() || limited && end.Sub(now) <= patience {
 		return nil
 	}
+	code := codeTargetsBackOff
+	if limited {
+		code = codeTargetsLimited
+	}
 	// Callers that are refused together must not return together.
 	wait := end.Sub(now)
-	return notRunRefusal(codeTargetsBackOff, wait+jitter(min(wait/4, unavailableRetryAfter)+time.Millisecond))
+	return notRunRefusal(code, wait+jitter(min(wait/4, unavailableRetryAfter)+time.Millisecond))
 }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -70,7 +70,7 @@
 	c := &callHandler{relay: r, req: req, w: w, results: make(chan *attemptResult, maxRefusals+max(req.route.MaxAttempts, 1)+1)}
 	req.pool.recordRequest(time.Now())
 	if !c.startAttempt(sendCtx, "first") {
-		refusal := req.backoffRefusal(time.Now())
+		refusal := req.backoffRefusal(time.Now(), 0)
 		if refusal == nil {
 			refusal = notRunRefusal(codeNoTarget, jitter(unavailableRetryAfter))
 		}
@@ -172,7 +172,7 @@
 	case result == nil:
 		refusal := c.relay.Crashes.refusal(time.Now(), c.req)
 		if refusal == nil {
-			refusal = c.req.backoffRefusal(time.Now())
+			refusal = c.req.backoffRefusal(time.Now(), 0)
 		}
 		if refusal == nil {
 			refusal = notRunRefusal(codeTargetsRefuse, jitter(allRefusedRetryAfter))
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -74,6 +74,11 @@
 	// Backoff is how long a target that refused wants no further requests from this instance, or 0 if it
 	// does not say.
 	Backoff time.Duration
+	// Limit is the number of requests a second that the target takes from all instances together, if Limited
+	// is set. LimitUnknown is set if the target states one that can't be read.
+	Limit        float64
+	Limited      bool
+	LimitUnknown bool
 	// Unreadable names the first header whose value can't be read, or is empty.
 	Unreadable string
 	// UnreadableValue is the value of that header.
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"bambooferry.example/bambooferry/pkg/blackboard"
@@ -64,7 +65,9 @@
 
 func (testCodec) ParseResponse(_ time.Time, res *http.Response) ResponseInfo {
 	backoff, _ := time.ParseDuration(res.Header.Get("Back-Off"))
+	limit, limitErr := strconv.ParseFloat(res.Header.Get("Limit"), 64)
 	return ResponseInfo{
+		Limit: limit, Limited: limitErr == nil, LimitUnknown: limitErr != nil && res.Header.Get("Limit") != "",
 		Leaving: res.Header.Get("Leaving") != "", Backoff: backoff,
 		RequestID: res.Header.Get("Id"), Sealed: res.Header.Get("Seal") != "", NotRun: res.Header.Get("Not-Run") != "",
 		ContentEncoded: res.Header.Get("Content-Encoding") != "", Incarnation: res.Header.Get("Target"),
@@ -243,7 +246,13 @@
 	readinessListener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	board := blackboard.New()
-	targets := &TargetRegistry{DataCentre: "a", RetryRatio: 0.5, RetrySlack: 20, RetryWindow: 10 * time.Second, Instances: func() int { return instances }, Seed: uint64(index) + 1}
+	targets := &TargetRegistry{
+		DataCentre: "a", RetryRatio: 0.5, RetrySlack: 20, RetryWindow: 10 * time.Second, Instances: func() int { return instances },
+		IsUser: func(target string, users int) bool {
+			return (int(xxhash.Sum64String(target))%instances+instances+index)%instances < users
+		},
+		Seed: uint64(index) + 1,
+	}
 	table := testRelayTable()
 	var list []route.Target
 	for i, s := range stubs {
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -103,3 +103,89 @@
 	require.NotEmpty(t, counted, "the engine takes some requests")
 	require.Zero(t, failed, "the other engines take the rest")
 }
+
+// Guards against requests that are held or sent while no engine of the pool takes more, and against refusals
+// without the time at which one does.
+func TestAllEnginesLimited(t *testing.T) {
+	for _, path := range []string{"/view/", "/book/", "/draft/"} {
+		t.Run(path, func(t *testing.T) {
+			e := startStub(t, "e1", func(c net.Conn, r *http.Request, _ string) bool {
+				return writeResponse(c, r, 503, "full", "Not-Run: 1", "Limit: 0.5")
+			})
+			tr := startRelay(t, e)
+			require.Equal(t, http.StatusServiceUnavailable, tr.request("POST", path+"1", "").status)
+			sent := len(e.seenRequests())
+			require.Equal(t, 1, sent, "an engine that refuses counts what it refuses")
+			startedAt := time.Now()
+			got := tr.request("POST", path+"2", "")
+			require.Equal(t, http.StatusServiceUnavailable, got.status)
+			require.Contains(t, got.body, `"code":"targets_limited","outcome":"not_run"`)
+			require.Less(t, time.Since(startedAt), 500*time.Millisecond)
+			wait, err := time.ParseDuration(got.header.Get("Retry-After") + "s")
+			require.NoError(t, err)
+			require.InDelta(t, 2, wait.Seconds(), 0.7, "one request in two seconds")
+			require.Len(t, e.seenRequests(), sent)
+		})
+	}
+}
+
+// Guards against a limit that outlasts the engine's statement, at this instance or at others, and against one
+// that ends with an answer that can't be read.
+func TestLimitEndsWithTheStatement(t *testing.T) {
+	var mu sync.Mutex
+	header := "Limit: 1000"
+	e := startStub(t, "e1", func(c net.Conn, r *http.Request, _ string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return writeResponse(c, r, 200, "ok", "Seal: s", header)
+	})
+	tr, other := startRelayOf(t, 1, 0, e), startRelayOf(t, 1, 0, e)
+	limit := func(tr *testRelay) (perSecond float64, ok bool) {
+		p := tr.relay.Targets.pool("p")
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.limits.Limit(p.targets[0])
+	}
+	tell := func() {
+		time.Sleep(100 * time.Millisecond)
+		other.relay.Targets.ApplyRemoteProgress(time.Now(), "x", tr.relay.Targets.LocalProgress(time.Now()))
+	}
+	say := func(h string) {
+		mu.Lock()
+		header = h
+		mu.Unlock()
+		require.Equal(t, 200, tr.request("GET", "/view/1", "").status)
+		tell()
+	}
+	say(header)
+	for _, r := range []*testRelay{tr, other} {
+		got, ok := limit(r)
+		require.True(t, ok)
+		require.InDelta(t, 1000, got, 0)
+	}
+	say("Limit: many")
+	_, ok := limit(tr)
+	require.True(t, ok, "a value that can't be read changes nothing")
+	say("Other: 1")
+	for _, r := range []*testRelay{tr, other} {
+		_, ok := limit(r)
+		require.False(t, ok)
+	}
+}
+
+// Guards against a stream that is not begun because its engine's limit is known, while another engine has
+// none.
+func TestStreamsUseEnginesWithoutLimit(t *testing.T) {
+	limited := startStub(t, "e1", func(c net.Conn, r *http.Request, _ string) bool {
+		return writeResponse(c, r, 503, "full", "Not-Run: 1", "Limit: 0")
+	})
+	free := startStub(t, "e2", func(c net.Conn, r *http.Request, _ string) bool {
+		writeEvents(c, r, 1, 3, true)
+		return true
+	})
+	tr := startRelay(t, limited, free)
+	for n := range 20 {
+		require.Equal(t, 200, tr.request("POST", fmt.Sprintf("/draft/%d", n), "").status)
+	}
+	require.LessOrEqual(t, len(limited.seenRequests()), 1)
+}
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -32,6 +32,9 @@
 	codePartCrashes = "part_crashes_targets"
 	// codeTargetsBackOff says that all targets have asked this instance to send nothing for a time.
 	codeTargetsBackOff = "targets_back_off"
+	// codeTargetsLimited says that all targets take no more requests from this instance for a time, since they
+	// have named limits.
+	codeTargetsLimited = "targets_limited"
 )
 
 // reasonCallerGone is the reason for a request whose caller has disconnected.
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -55,7 +55,7 @@
 // wants the request.
 func (st *streamHandler) waitForTarget(now time.Time, action *generation.Action) {
 	if st.acceptedCount == 0 {
-		if st.backoffRefusal = st.req.backoffRefusal(now); st.backoffRefusal != nil {
+		if st.backoffRefusal = st.req.backoffRefusal(now, limitPatience); st.backoffRefusal != nil {
 			st.aborted = true
 			return
 		}
@@ -85,7 +85,7 @@
 	if !st.req.pool.copiesKVCache() || !st.req.route.AllowsRerun() {
 		return route.Target{}, false
 	}
-	b, _, ok := st.req.pool.chooseTarget(now, t.DataCentre, targetCriteria{avoidTargets: []string{t.ID}, avoidDataCentre: t.DataCentre, requestID: st.req.ID})
+	b, _, ok := st.req.pool.chooseTarget(now, t.DataCentre, targetCriteria{avoidTargets: []string{t.ID}, avoidDataCentre: t.DataCentre, requestID: st.req.ID, sendsNothing: true})
 	return b, ok && b.ID != t.ID
 }
 
--- a/internal/relay/successor.go
+++ b/internal/relay/successor.go
@@ -95,6 +95,7 @@
 		return time.Time{}, false
 	}
 	p.searchingSuccessor[t.ID] = true
+	p.limits.Take(now, t, p.instanceCount())
 	return p.successors.ProofDeadline(lastHeardAt), true
 }
 
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -38,7 +38,10 @@
 	RetryWindow time.Duration
 	// Instances returns the number of instances.
 	Instances func() int
-	Seed      uint64
+	// IsUser reports whether this instance is among the given number of instances that use a target with a
+	// limit; if it is nil, each instance is.
+	IsUser func(target string, users int) bool
+	Seed   uint64
 	// AddressReuse is the time after a target's end in which no other pool gets its address, or 0.
 	AddressReuse time.Duration
 
@@ -74,7 +77,10 @@
 	// replaced holds targets at whose address another incarnation has responded.
 	replaced map[string]route.Target
 	// availability holds what targets have said about new requests.
-	availability    route.Availability
+	availability route.Availability
+	// limits holds how many requests targets take.
+	limits          route.RateLimits
+	isUser          func(target string, users int) bool
 	split           version.Split
 	progressChanged chan struct{}
 	// removedAt is when the table no longer had the pool, or zero; the registry's lock guards it.
@@ -134,9 +140,11 @@
 	var silent, replaced []string
 	successors := map[string]string{}
 	leaving, backoffs := map[string]int64{}, map[string]int64{}
+	limits := map[string]gossip.LimitStatement{}
 	for name, p := range r.allPools() {
 		p.mu.Lock()
 		p.addStatements(now, leaving, backoffs)
+		p.addLimits(now, limits)
 		if counts := p.retryBudget.LocalCounts(now); counts != (booking.SendCounts{}) {
 			attemptCounts[name] = counts
 		}
@@ -148,7 +156,7 @@
 		maps.Copy(successors, p.successors.ProvenLocally())
 		p.mu.Unlock()
 	}
-	return gossip.Progress{InProgress: inProgress, AttemptCounts: attemptCounts, SilentTargets: silent, ReplacedTargets: replaced, Successors: successors, LeavingTargets: leaving, BackoffMillis: backoffs}
+	return gossip.Progress{InProgress: inProgress, AttemptCounts: attemptCounts, SilentTargets: silent, ReplacedTargets: replaced, Successors: successors, LeavingTargets: leaving, BackoffMillis: backoffs, Limits: limits}
 }
 
 // ApplyRemoteProgress applies what another instance reports about its targets.
@@ -169,6 +177,7 @@
 			}
 		}
 		p.applyStatements(now, progress)
+		p.applyLimits(now, progress.Limits)
 		p.mu.Unlock()
 	}
 }
@@ -187,7 +196,7 @@
 	return &pool{
 		progressChanged: r.progressChanged, enginePool: engine.Pool{Policy: selectionPolicy}, losses: newLossTracker(), replaced: map[string]route.Target{},
 		successors: route.Successors{AddressReuse: r.AddressReuse}, searchingSuccessor: map[string]bool{},
-		retryBudget: booking.SharedRetryBudget{Ratio: r.RetryRatio, Slack: r.RetrySlack, Window: r.RetryWindow}, instanceCount: r.Instances,
+		retryBudget: booking.SharedRetryBudget{Ratio: r.RetryRatio, Slack: r.RetrySlack, Window: r.RetryWindow}, instanceCount: r.Instances, isUser: r.IsUser,
 	}
 }
 
@@ -208,6 +217,7 @@
 	}
 	p.enginePool.RetainTargets(names)
 	p.availability.Retain(now, p.targets)
+	p.limits.Retain(now, p.targets)
 	for id, t := range p.replaced {
 		if p.findTarget(id) != t {
 			delete(p.replaced, id)
@@ -241,6 +251,8 @@
 	preferredTarget string
 	// avoidDataCentre is a data centre that is chosen only if there is no other, or empty.
 	avoidDataCentre string
+	// sendsNothing is set if the target will get no request, so that none counts against its limit.
+	sendsNothing bool
 	// requestID and firstAttempt decide which version may be used while a pool's version changes.
 	requestID    string
 	firstAttempt bool
@@ -268,7 +280,11 @@
 		func(*route.Target) bool { return len(criteria.avoidTargets) > 0 },
 	} {
 		if c, ok := p.enginePool.ChooseCandidate(now, p.openTargets(now, dataCentre, p.withVersion(now, criteria, p.replacing(now, criteria.silentTarget, passes))), nil, nil); ok {
-			return p.findTarget(c.Name), c.Load, true
+			t := p.findTarget(c.Name)
+			if !criteria.sendsNothing {
+				p.limits.Take(now, t, p.instanceCount())
+			}
+			return t, c.Load, true
 		}
 	}
 	return route.Target{}, 0, false
