Answer a stream that ends before its first event

Cause: the engine's header was handed to net/http when it came and held there until the first event, so that nothing but the end of the connection was left. Class: a decision is taken before it is needed.

Test red before: TestStreamWithoutEventsEndsWithAnAnswer, all three cases (EOF in place of an answer).

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -53,6 +53,8 @@
 	postponeLogged bool
 	events         eventReader
 	headerSent     bool
+	// response is the response whose header is passed on with the first bytes of the stream.
+	response *http.Response
 	// idOffset is added to a position to give the event's id.
 	idOffset uint64
 	// idOffsetKnown is set once the first event's id is known.
@@ -285,7 +287,18 @@
 	}
 }
 
+// sendHeader sends the header of the response, after which no other answer can be given.
+func (st *streamHandler) sendHeader() {
+	if st.headerSent || st.response == nil {
+		return
+	}
+	st.headerSent = true
+	st.req.disableInterrupt()
+	writeHeader(st.w, st.response)
+}
+
 func (st *streamHandler) write(raw []byte) {
+	st.sendHeader()
 	_, err := st.w.Write(raw)
 	if err == nil {
 		err = st.controller.Flush()
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -126,11 +126,7 @@
 		st.backupEngine = info.BackupEngine
 		st.events = eventReader{reader: bufio.NewReaderSize(current.res.Body, 512), raw: st.events.raw}
 		if !st.headerSent {
-			st.headerSent = true
-			// No other answer can be given any more.
-			st.req.disableInterrupt()
-			writeHeader(st.w, current.res)
-			// The header is sent with the first event.
+			st.response = current.res
 		}
 	}
 	st.performActions(st.gen.Step(now, ev))
