Give up a stream whose engine sends comments without end

What callers saw: an engine that sends ": ping" again and again holds a stream without progress until its time limit, and the caller gets all of it.

Cause: each event without an id was passed on and counted as a sign of life; the silence timeouts are looked at only when a read gets nothing. Class: bytes are taken for progress.

Change: 64 KiB without an event that has an id end the attempt; after 16 such events the silence timeouts are checked with each one. Comments before the first event are held, so that the caller can still get another answer or the stream of another engine.

Test red before: TestEndlessComments, three of four cases (504 after 5 s, or an answer broken off).

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -10,8 +10,15 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxEventSize bounds one event of a stream.
-const maxEventSize = 64 << 10
+const (
+	// maxEventSize bounds one event of a stream.
+	maxEventSize = 64 << 10
+	// maxIdleBytes bounds the bytes without an event that has an id, such as comments.
+	maxIdleBytes = 64 << 10
+	// minIdleEvents is the number of events without an id after which a stream is checked for silence. What
+	// arrived while the process was paused may begin with some.
+	minIdleEvents = 16
+)
 
 // EventError reports that a stream's bytes are not a valid event.
 type EventError struct{ Rule string }
@@ -22,6 +29,9 @@
 type eventReader struct {
 	reader *bufio.Reader
 	raw    []byte
+	// idleBytes and idleEvents count what came since the last event with an id.
+	idleBytes  int
+	idleEvents int
 }
 
 // nextEvent returns the bytes of the next complete event and its id; numbered is false if it has
@@ -45,6 +55,9 @@
 				// Blank lines between events belong to the next one.
 				continue
 			}
+			if err := e.countIdle(numbered); err != nil {
+				return nil, 0, false, err
+			}
 			return e.raw, id, numbered, nil
 		}
 		value, ok := bytes.CutPrefix(line, []byte("id:"))
@@ -58,6 +71,29 @@
 	}
 }
 
+// countIdle bounds what a target may send without an event that makes progress.
+func (e *eventReader) countIdle(numbered bool) error {
+	if numbered {
+		e.idleBytes, e.idleEvents = 0, 0
+		return nil
+	}
+	e.idleEvents++
+	if e.idleBytes += len(e.raw); e.idleBytes > maxIdleBytes {
+		return &EventError{Rule: "no_progress"}
+	}
+	return nil
+}
+
+// isComment reports whether an event holds nothing but comments.
+func isComment(raw []byte) bool {
+	for line := range bytes.Lines(raw) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // appendLine appends one line, including its line end, to raw.
 func (e *eventReader) appendLine() error {
 	for {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -55,6 +55,8 @@
 	headerSent     bool
 	// response is the response whose header is passed on with the first bytes of the stream.
 	response *http.Response
+	// heldComments are comments that came before the first event; until then another answer can be given.
+	heldComments []byte
 	// idOffset is added to a position to give the event's id.
 	idOffset uint64
 	// idOffsetKnown is set once the first event's id is known.
@@ -247,7 +249,7 @@
 // handleTargetEvent passes one event from the target to the stream.
 func (st *streamHandler) handleTargetEvent(now time.Time, current *attempt, raw []byte, id uint64, numbered bool) {
 	if !numbered {
-		st.write(raw)
+		st.passUnnumbered(now, raw)
 		return
 	}
 	if !st.idOffsetKnown {
@@ -266,6 +268,18 @@
 	st.performActions(st.gen.Step(now, generation.Event{Kind: generation.TokenReceived, Attempt: current.number, Position: id - st.idOffset, Text: string(raw)}))
 }
 
+// passUnnumbered passes on an event without an id. A target that sends nothing else for long is silent.
+func (st *streamHandler) passUnnumbered(now time.Time, raw []byte) {
+	if !st.headerSent && isComment(raw) {
+		st.heldComments = append(st.heldComments, raw...)
+	} else {
+		st.write(raw)
+	}
+	if wake := st.gen.NextTick(); st.events.idleEvents >= minIdleEvents && !wake.IsZero() && !now.Before(wake) {
+		st.performActions(st.gen.Step(now, generation.Event{Kind: generation.Ticked}))
+	}
+}
+
 // deliverEvent writes one event to the caller.
 func (st *streamHandler) deliverEvent(action *generation.Action) {
 	now := time.Now()
@@ -299,6 +313,9 @@
 
 func (st *streamHandler) write(raw []byte) {
 	st.sendHeader()
+	if len(st.heldComments) > 0 {
+		raw, st.heldComments = append(st.heldComments, raw...), nil
+	}
 	_, err := st.w.Write(raw)
 	if err == nil {
 		err = st.controller.Flush()
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -126,7 +126,7 @@
 		st.backupEngine = info.BackupEngine
 		st.events = eventReader{reader: bufio.NewReaderSize(current.res.Body, 512), raw: st.events.raw}
 		if !st.headerSent {
-			st.response = current.res
+			st.response, st.heldComments = current.res, nil
 		}
 	}
 	st.performActions(st.gen.Step(now, ev))
--- a/internal/relay/stream_end.go
+++ b/internal/relay/stream_end.go
@@ -18,7 +18,7 @@
 	callerGone := st.req.http.Context().Err() != nil
 	switch {
 	case st.gen.Done() && st.failure == nil && st.ctx.Err() == nil && !st.aborted:
-		st.sendHeader()
+		st.write(nil)
 		r.logStreamEnd(st, string(generation.Ran), "whole")
 	case callerGone:
 		r.logStreamEnd(st, string(generation.Unknown), st.req.callerEndReason())
