Bound the informational responses of a target

What callers saw: a target that sends 1xx responses in a row held a request until its time limit (150 to 266 MiB were read in 4 s), then 504, though another one could have answered.

Cause: the bound on a header was set anew for each of them. Class: a bound on one item and none on their number.

Change: one bound for the final header and all informational ones before it, and at most 16 of these. The attempt then ends like any other invalid answer.

Test red before: TestEndlessInformationalResponses, the stream cases (504); the call cases passed by their hedge.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -18,8 +18,10 @@
 	// readBufferSize is the size of the buffer for data from a target; events have some hundred
 	// bytes.
 	readBufferSize = 4 << 10
-	// maxResponseHeader bounds the header of a target's response.
+	// maxResponseHeader bounds the header of a target's response and the informational ones before it.
 	maxResponseHeader = 32 << 10
+	// maxInformational bounds the responses that are read until a final one.
+	maxInformational = 16
 	// pendingReadTimeout bounds the read of data that arrived while the process was paused, before
 	// a target counts as silent.
 	pendingReadTimeout = 20 * time.Millisecond
@@ -131,12 +133,12 @@
 // complete request.
 const earlyResponseTimeout = 100 * time.Millisecond
 
-// readResponse reads the header of one final response.
+// readResponse reads the header of one final response and the informational ones before it.
 func (c *conn) readResponse(r *http.Request) (*http.Response, error) {
-	for {
-		c.headerLimit.N = maxResponseHeader
+	c.headerLimit.N = maxResponseHeader
+	defer func() { c.headerLimit.N = math.MaxInt64 }()
+	for range maxInformational {
 		res, err := http.ReadResponse(c.reader, r)
-		c.headerLimit.N = math.MaxInt64
 		if err != nil {
 			return nil, err
 		}
@@ -144,6 +146,7 @@
 			return res, nil
 		}
 	}
+	return nil, &ResponseError{Rule: "informational"}
 }
 
 // isReusable reports whether an idle connection is open and has received no data since its last
