Do not pass on an unsealed failure with a body without end

What callers saw: a 500 without proof of origin and with a body that never ends was passed on to the caller until its time limit.

Cause: a body over 256 KiB is passed on as it comes, sealed or not. Class: as for comments: bytes are taken for an answer.

Change: without a seal such a body ends the attempt as an invalid answer. A sealed one is still passed on, bounded by the request's time limit; if it is cut, the caller's answer is cut as well and does not look complete.

Test red before: TestEndlessUnsealedFailure (unexpected EOF after 5 s).

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -222,6 +222,10 @@
 		return result
 	}
 	result.readBody()
+	if result.unread != nil && !a.info.Sealed {
+		// Nothing proves that these bytes are the target's answer, or bounds them.
+		result.unread, result.err = nil, &ResponseError{Rule: "unsealed_body"}
+	}
 	now = time.Now()
 	if result.err == nil {
 		result.err = a.checkResponse()
