Bound the header of a target's response to a call

What callers saw: nothing yet; found by looking for the cause of endless informational responses elsewhere. A target of the product's own interface that sends a header line, header lines or 1xx responses without end fills the instance's memory, or holds the call, until the call's deadline.

Cause: roundTrip of calls read the header from the bare connection; the engines' connections have had a bound since they were written.

Change: the same bound, 32 KiB for the header and all informational responses before it.

Test red before: TestEndlessResponseHeader, all three cases read the 8 MiB that the test sends.

--- a/internal/server/call_send.go
+++ b/internal/server/call_send.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -158,13 +159,15 @@
 	if err := req.Write(conn); err != nil {
 		return targetResponse{}, err
 	}
-	in := bufio.NewReaderSize(conn, 4<<10)
+	limited := io.LimitedReader{R: conn, N: maxHeaderBytes}
+	in := bufio.NewReaderSize(&limited, 4<<10)
 	for {
 		res, err := http.ReadResponse(in, req)
 		if err != nil {
 			return targetResponse{}, err
 		}
 		if res.StatusCode >= minFinalStatus {
+			limited.N = math.MaxInt64
 			defer res.Body.Close()
 			return s.readResponse(res)
 		}
--- a/internal/server/engine_conn.go
+++ b/internal/server/engine_conn.go
@@ -19,7 +19,7 @@
 	// With 16 KiB, less than a segment of 64 KiB on loopback, an answer arrived at only some 100 KB/s, since
 	// each window update waited for a timer. After a reader stops, the buffer is held only for detach_after.
 	engineSocketBytes = 64 << 10
-	// maxHeaderBytes bounds the header of an engine's response.
+	// maxHeaderBytes bounds the header of a target's response and the informational ones before it.
 	maxHeaderBytes = 32 << 10
 	// lateAnswerWait bounds the wait for the response of an engine that did not read the whole request.
 	lateAnswerWait = 100 * time.Millisecond
