Recognise crashed engines at addresses that accept connections

A part of prompts crashed 37 engines in 16 s, and none of the crashes was counted.

Cause: a crash counted only if one new connection was refused. A proxy, a dying listener or the next incarnation accepts it. Class: a sign is taken for the state that it usually goes with.

Change: after an accepted connection, a request that may be to blame by its parts asks the health path. Another incarnation counts as a crash. A closed connection counts against the parts only, since an overloaded engine closes connections too; the content of a single request is blamed as before. The question counts against an engine's limit.

--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"strconv"
 	"sync"
 	"syscall"
@@ -41,6 +42,8 @@
 	AgeMillis        int64 `json:"age_ms,omitempty"`
 	AttemptAgeMillis int64 `json:"begun_ms,omitempty"`
 	Served           bool  `json:"served,omitempty"`
+	// Certain is set if the crash counts against the request, and not only against its parts.
+	Certain bool `json:"certain,omitempty"`
 	// Target is the incarnation that crashed, and Parts the parts of the prompt, if they may be the cause.
 	Target string   `json:"target,omitempty"`
 	Parts  []string `json:"parts,omitempty"`
@@ -140,7 +143,7 @@
 		c.mu.Lock()
 		c.counter.RecordSuccess(message.Digest)
 		c.mu.Unlock()
-	default:
+	case message.Certain:
 		c.recordCrash(millisBefore(now, message.AgeMillis), millisBefore(now, message.AttemptAgeMillis), message.Digest)
 	}
 	c.applyParts(now, &message)
@@ -159,20 +162,23 @@
 		ctx, cancel := context.WithTimeout(r.probeContext, dialTimeout)
 		defer cancel()
 		conn, err := r.targetConns.dial(ctx, a.target.Address)
-		r.logCrashCheck(time.Now(), a, lostAt, err)
 		if err == nil {
-			// Only the connection was lost.
 			r.targetConns.put(time.Now(), conn, 0)
-			return
+			if len(a.suspectParts(lostAt)) > 0 {
+				// Something else may accept connections at the address, or the target's next incarnation.
+				err = r.checkIncarnation(ctx, a)
+			}
 		}
-		if !errors.Is(err, syscall.ECONNREFUSED) {
+		r.logCrashCheck(time.Now(), a, lostAt, err)
+		if !isCrash(err) {
 			return
 		}
 		digest := a.req.digest()
-		if r.Crashes.recordCrash(lostAt, a.startedAt, digest) {
+		// A target that closes new connections may only be overloaded, which excuses a single request.
+		if isCertainCrash(err) && r.Crashes.recordCrash(lostAt, a.startedAt, digest) {
 			r.Log.Write(time.Now(), timeline.Event{Kind: "request_marked", Request: a.req.ID, Target: a.target.ID, Decision: "refuse", Why: codeCrashes})
 		}
-		message := crashMessage{Digest: digest}
+		message := crashMessage{Digest: digest, Certain: isCertainCrash(err)}
 		if parts := a.suspectParts(lostAt); len(parts) > 0 && r.Crashes.recordPartCrash(time.Now(), booking.PartCrash{Target: a.target.ID, At: lostAt, Request: digest, Parts: parts}) {
 			message.Target, message.Parts = a.target.ID, parts
 		}
@@ -203,14 +209,48 @@
 	}
 }
 
+// ReplacedError reports that another incarnation than the expected one is at a target's address.
+type ReplacedError struct{ Incarnation string }
+
+func (e *ReplacedError) Error() string { return "the address is that of " + e.Incarnation }
+
+// checkIncarnation asks a target that has lost a request whether it is still there.
+func (r *Relay) checkIncarnation(ctx context.Context, a *attempt) error {
+	if a.req.pool.healthCheckPath() == "" {
+		return nil
+	}
+	a.req.pool.countProbe(time.Now(), a.target)
+	id, err := r.incarnationAt(ctx, a.req.pool, a.target)
+	if err == nil && id != "" && id != a.target.ID {
+		return &ReplacedError{Incarnation: id}
+	}
+	return err
+}
+
+// isCrash reports whether the result of a new connection to a target that has lost a request means that the
+// target has crashed.
+func isCrash(err error) bool {
+	return isCertainCrash(err) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
+// isCertainCrash reports whether nothing else than a crash explains the result.
+func isCertainCrash(err error) bool {
+	replaced := (*ReplacedError)(nil)
+	return errors.As(err, &replaced) || errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // logCrashCheck logs what a new connection to a target that lost a request has shown.
 func (r *Relay) logCrashCheck(now time.Time, a *attempt, lostAt time.Time, err error) {
-	kind, why := "target_crashed", "connection_refused"
+	kind, why, replaced := "target_crashed", "connection_refused", (*ReplacedError)(nil)
 	switch {
 	case err == nil:
 		kind, why = "target_crash_unlikely", "connection_accepted"
-	case !errors.Is(err, syscall.ECONNREFUSED):
+	case errors.As(err, &replaced):
+		why = "other_incarnation"
+	case !isCrash(err):
 		kind, why = "target_crash_uncertain", "no_connection"
+	case !errors.Is(err, syscall.ECONNREFUSED):
+		why = "connection_closed"
 	}
 	r.instruments.recordCrashCheck(why)
 	r.Log.Write(now, timeline.Event{
--- a/internal/relay/crashes_test.go
+++ b/internal/relay/crashes_test.go
@@ -60,7 +60,7 @@
 	tracker := &CrashTracker{counter: booking.CrashCounter{Retention: crashRetention}}
 	now := time.Now()
 	for i := range 3 {
-		tracker.HandleMessage(now.Add(time.Duration(i)*time.Second), []byte(`{"digest":"d","age_ms":100,"begun_ms":900}`))
+		tracker.HandleMessage(now.Add(time.Duration(i)*time.Second), []byte(`{"digest":"d","certain":true,"age_ms":100,"begun_ms":900}`))
 	}
 	require.True(t, tracker.counter.IsMarked(now.Add(3*time.Second), "d"))
 	tracker.HandleMessage(now, []byte(`{"digest":"d","served":true}`))
--- a/internal/relay/endless_failure_test.go
+++ b/internal/relay/endless_failure_test.go
@@ -22,4 +22,3 @@
 	require.Equal(t, http.StatusBadGateway, got.status)
 	require.Contains(t, got.body, `"code":"bad_answer","outcome":"unknown"`)
 }
-
--- a/internal/relay/endless_informational_test.go
+++ b/internal/relay/endless_informational_test.go
@@ -36,4 +36,3 @@
 		}
 	}
 }
-
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -26,6 +26,13 @@
 	return p.limits.Wait(now, t, n)
 }
 
+// countProbe counts a health check against the target's limit.
+func (p *pool) countProbe(now time.Time, t route.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limits.Take(now, t, p.instanceCount())
+}
+
 // addLimits adds what the pool's targets have stated to this instance; the caller holds mu.
 func (p *pool) addLimits(now time.Time, limits map[string]gossip.LimitStatement) {
 	for id, s := range p.limits.Recent(now) {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -53,7 +53,7 @@
 }
 
 // recordCrashCheck counts the checks of targets that lost a request: "connection_refused",
-// "connection_accepted" or "no_connection".
+// "connection_closed", "other_incarnation", "connection_accepted" or "no_connection".
 func (m *instruments) recordCrashCheck(result string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("bambooferry_crash_checks_total{result=%q}", result)).Inc()
 }
