Blame a part that crashes all targets of a small pool

With four engines and five requests a second with the part, all engines are down most of the time, no answer is left to compare with, and the part is never marked.

Cause: a mark needs answers to other requests, so that no part is blamed while targets crash for all requests. Answers of other pools counted too, which say nothing.

Change: only streams, and requests that state parts, count. While nothing is served, a part is marked after five separate crashes if at most half of the last requests at the instance have it and it was present at three of four crashes. A part that most requests have is not: to refuse it would outlast the outage.

Test red before: TestPartThatCrashesAllTargets, the first case.

--- a/internal/relay/crash_parts.go
+++ b/internal/relay/crash_parts.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"bambooferry.example/bambooferry/pkg/booking"
+	"bambooferry.example/bambooferry/pkg/route"
 	"bambooferry.example/bambooferry/pkg/timeline"
 )
 
@@ -145,6 +146,15 @@
 	return refusal
 }
 
+// recordArrival records that a request has arrived.
+func (c *CrashTracker) recordArrival(req *callerRequest) {
+	if req.route.Kind == route.Streaming || len(req.PromptParts) > 0 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.parts.detector.RecordArrival(req.sharedParts())
+	}
+}
+
 // recordPartCrash records that a request was lost in a crash, and reports whether the other instances are to
 // be told its parts.
 func (c *CrashTracker) recordPartCrash(now time.Time, crash booking.PartCrash) bool {
@@ -164,6 +174,10 @@
 // recordAnswer records that an answer to a request began at a time and went on.
 func (c *CrashTracker) recordAnswer(now, begunAt time.Time, req *callerRequest) {
 	parts := req.sharedParts()
+	if len(parts) == 0 && req.route.Kind != route.Streaming {
+		// Answers of other kinds of targets say nothing about these.
+		return
+	}
 	c.mu.Lock()
 	c.parts.init()
 	cleared := c.parts.detector.RecordAnswer(now, begunAt, parts)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -66,6 +66,7 @@
 		r.refuse(w, req, notRunRefusal(codeStopping, stoppingRetryAfter))
 		return
 	}
+	r.Crashes.recordArrival(req)
 	if refusal := r.Crashes.refusal(now, req); refusal != nil {
 		r.refuse(w, req, refusal)
 		return
--- a/pkg/booking/partcrash.go
+++ b/pkg/booking/partcrash.go
@@ -35,6 +35,10 @@
 	maxCrashParticipants = 64
 	maxPartMarks         = 1024
 	maxServedParts       = 8192
+	// maxArrivals is the number of last requests among which the share of a part is counted, and minArrivals the
+	// least number for that.
+	maxArrivals = 64
+	minArrivals = 16
 	// decideInterval is the least time between two decisions, since a lost data centre means thousands of reports.
 	decideInterval = 50 * time.Millisecond
 	// maxMarkAge is how long a part is refused at most, so that a repaired target is found.
@@ -71,7 +75,8 @@
 // A crash also ends the other requests at the target, which share parts with the guilty one and with
 // requests that are served. A part is marked when different requests with it were present at several
 // separate crashes, no answer to a request with it has begun since the first of these, other answers have,
-// and no other part explains more crashes.
+// and no other part explains more crashes. While nothing is served, it is marked only if a minority of the
+// requests have it and it was present at most crashes.
 type PartCrashDetector struct {
 	// Retention is how long a crash counts.
 	Retention time.Duration
@@ -83,6 +88,8 @@
 	// served holds when the last answer to a request with a part began that went on.
 	served  map[string]time.Time
 	answers []answer
+	// arrivals holds the parts of the last requests at this instance.
+	arrivals [][]string
 	// undecided is set when something was recorded since the last decision, at decidedAt.
 	undecided bool
 	decidedAt time.Time
@@ -108,8 +115,10 @@
 
 // partEvidence is what the crashes say about one part.
 type partEvidence struct {
-	part    string
+	part string
+	// crashes counts the separate crashes, present all at which the part was present.
 	crashes int
+	present int
 	first   time.Time
 	last    time.Time
 	// requests holds the requests with the part at each counted crash.
@@ -213,6 +222,29 @@
 	return cleared
 }
 
+// RecordArrival records that a request arrived at this instance.
+func (d *PartCrashDetector) RecordArrival(parts []string) {
+	if len(d.arrivals) >= maxArrivals {
+		d.arrivals = d.arrivals[1:]
+	}
+	d.arrivals = append(d.arrivals, parts)
+}
+
+// explainsOutage reports whether a part that few requests have was present at most crashes. That holds also
+// while nothing is served, since its requests crash all targets.
+func (d *PartCrashDetector) explainsOutage(e *partEvidence) bool {
+	if e.crashes < minServedPartCrashes || len(d.arrivals) < minArrivals {
+		return false
+	}
+	with := 0
+	for _, parts := range d.arrivals {
+		if slices.Contains(parts, e.part) {
+			with++
+		}
+	}
+	return 2*with <= len(d.arrivals) && 4*e.present >= 3*len(d.crashes)
+}
+
 // LastServed returns when the last recent answer to a request with a part began.
 func (d *PartCrashDetector) LastServed(now time.Time, part string) (time.Time, bool) {
 	at, ok := d.served[part]
@@ -330,9 +362,9 @@
 		}
 	}
 	if _, served := d.LastServed(now, e.part); served || recent < minRecentAnswers {
-		return e.crashes >= minServedPartCrashes && begunSince >= minAnswersSince
+		return e.crashes >= minServedPartCrashes && begunSince >= minAnswersSince || d.explainsOutage(e)
 	}
-	return e.crashes >= minPartCrashes && seenSince > 0
+	return e.crashes >= minPartCrashes && seenSince > 0 || d.explainsOutage(e)
 }
 
 // evidence returns what the crashes that no marked part explains say about the parts that were present at
@@ -364,7 +396,7 @@
 
 // partEvidence returns the evidence against a part that was present at the given crashes.
 func (d *PartCrashDetector) partEvidence(part string, present []int) *partEvidence {
-	e := &partEvidence{part: part}
+	e := &partEvidence{part: part, present: len(present)}
 	for _, i := range present {
 		c := &d.crashes[i]
 		if e.crashes > 0 && c.at.Sub(e.last) < separateCrashes || d.hasCommonCause(i, present) {
--- a/pkg/booking/partcrash_test.go
+++ b/pkg/booking/partcrash_test.go
@@ -127,6 +127,30 @@
 	require.Empty(t, markedParts(d, 6100))
 }
 
+// Guards against an outage that goes on since a part crashes all targets of a small pool, so that no answer is
+// left to compare with, and against blame for a part that most requests have.
+func TestPartThatCrashesAllTargets(t *testing.T) {
+	for name, c := range map[string]struct {
+		arrival []string
+		want    []string
+	}{
+		"a minority has it": {[]string{"popular"}, []string{"bad"}},
+		"most have it":      {[]string{"bad"}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := &PartCrashDetector{Retention: 10 * time.Minute, MarkTime: 10 * time.Minute}
+			for range 40 {
+				d.RecordArrival(c.arrival)
+			}
+			for i := range 5 {
+				d.RecordArrival([]string{"bad"})
+				crashAt(d, 300*i, fmt.Sprint("r", i), "bad", fmt.Sprint("p", i))
+			}
+			require.Equal(t, c.want, markedParts(d, 2000))
+		})
+	}
+}
+
 // Guards against marks that end while requests with the part still come, and against ones that never end.
 func TestMarkTime(t *testing.T) {
 	d := newPartDetector()
