Name parts of prompts the same at all instances

A part's id that is not valid UTF-8, or has characters that JSON escapes, came out of a message as another name, so that the other instances never refused it, and could make the message too long to be sent. Such ids are replaced by their hash, as long ones were.

--- a/internal/relay/crash_parts.go
+++ b/internal/relay/crash_parts.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,7 +24,7 @@
 	maxReportAge = 24 * time.Hour
 	// maxReportedParts bounds the parts of one prompt that are considered.
 	maxReportedParts = 16
-	// maxPartBytes bounds the name of a part; longer ones are replaced by their hash.
+	// maxPartBytes bounds the name of a part.
 	maxPartBytes = 32
 	// suspectAnswerTime is the time after the first output within which a crash may have been caused by the
 	// request.
@@ -98,15 +99,21 @@
 	parts := req.PromptParts[:len(req.PromptParts)-1]
 	names := make([]string, 0, min(len(parts), maxReportedParts))
 	for _, p := range parts[:min(len(parts), maxReportedParts)] {
-		name := p.ID
-		if len(name) > maxPartBytes {
-			name = strconv.FormatUint(xxhash.Sum64String(name), 16)
-		}
-		names = append(names, name)
+		names = append(names, partName(p.ID))
 	}
 	return names
 }
 
+// partName returns the name of a part in messages and logs: its id, or a hash of one that is long or would
+// not be the same after encoding.
+func partName(id string) string {
+	plain := func(r rune) bool { return r > ' ' && r < 0x7f && !strings.ContainsRune(`"\<>&`, r) }
+	if len(id) <= maxPartBytes && id != "" && !strings.ContainsFunc(id, func(r rune) bool { return !plain(r) }) {
+		return id
+	}
+	return strconv.FormatUint(xxhash.Sum64String(id), 16)
+}
+
 // suspectParts returns the parts that may have crashed the target of a lost attempt: none if its answer had
 // gone on for some time.
 func (a *attempt) suspectParts(lostAt time.Time) []string {
--- a/internal/relay/mark_keeper_test.go
+++ b/internal/relay/mark_keeper_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -108,6 +110,19 @@
 	require.Empty(t, tracker.markMessages(time.Now()))
 }
 
+// Guards against parts whose names differ between instances or do not fit into a message.
+func TestPartNames(t *testing.T) {
+	require.Equal(t, "5c1e07a2", partName("5c1e07a2"))
+	for _, id := range []string{"", "a\xffb", "a\"b", "a b", "<a>", "é", strings.Repeat("a", 500)} {
+		name := partName(id)
+		require.LessOrEqual(t, len(name), maxPartBytes)
+		data, err := json.Marshal(name)
+		require.NoError(t, err)
+		require.Equal(t, `"`+name+`"`, string(data))
+		require.NotEqual(t, name, partName(id+"x"))
+	}
+}
+
 // Guards against requests that were sent before their part was marked and go on to crash their engines, and
 // against engines that are blamed for the end of these requests.
 func TestMarkEndsRequestsThatWereNotBegun(t *testing.T) {
