--- a/internal/relay/crashing_part_test.go
+++ b/internal/relay/crashing_part_test.go
@@ -37,6 +37,7 @@
 
 	mu         sync.Mutex
 	generation int
+	crashed    bool
 	listener   net.Listener
 	conns      map[net.Conn]bool
 }
@@ -98,6 +99,8 @@
 func (e *crashingEngine) id() string { return fmt.Sprintf("%s-%d", e.address, e.generation) }
 
 func (e *crashingEngine) start() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	address := "127.0.0.1:0"
 	if e.address.IsValid() {
 		address = e.address.String()
@@ -106,10 +109,9 @@
 	if err != nil {
 		return err
 	}
-	e.mu.Lock()
 	e.listener, e.address = ln, ln.Addr().(*net.TCPAddr).AddrPort()
 	e.generation++
-	e.mu.Unlock()
+	e.crashed = false
 	go func() {
 		for {
 			conn, err := ln.Accept()
@@ -137,6 +139,13 @@
 }
 
 func (e *crashingEngine) crash() {
+	e.mu.Lock()
+	again := e.crashed
+	e.crashed = true
+	e.mu.Unlock()
+	if again {
+		return
+	}
 	e.stop()
 	e.cluster.mu.Lock()
 	e.cluster.crashes = append(e.cluster.crashes, time.Now())
@@ -261,11 +270,13 @@
 	c := startCrashingCluster(t, 3, 12)
 	startedAt := time.Now()
 	badFrom, until := startedAt.Add(2*time.Second), startedAt.Add(14*time.Second)
-	go func() {
+	var bad sync.WaitGroup
+	bad.Go(func() {
 		time.Sleep(time.Until(badFrom))
 		c.sendBad(until)
-	}()
+	})
 	results := c.sendSound(until)
+	bad.Wait()
 
 	before, n := firstShare(results, startedAt, badFrom.Add(-500*time.Millisecond))
 	require.Greater(t, n, 20)
