--- a/internal/relay/crash_parts.go
+++ b/internal/relay/crash_parts.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// markMessage tells other instances of a mark.
+// markMessage is a mark in messages and in the platform's store.
 type markMessage struct {
 	Part    string `json:"part"`
 	Crashes int    `json:"crashes"`
@@ -162,7 +162,7 @@
 }
 
 // recordPartCrash records that a request was lost in a crash, and reports whether the other instances are to
-// be told its parts.
+// receive its parts.
 func (c *CrashTracker) recordPartCrash(now time.Time, crash booking.PartCrash) bool {
 	c.mu.Lock()
 	c.parts.init()
@@ -217,7 +217,7 @@
 	return served
 }
 
-// decide marks the parts against which the evidence suffices, and tells the other instances.
+// decide marks the parts against which the evidence suffices, and broadcasts the new marks.
 func (c *CrashTracker) decide(now time.Time) {
 	c.mu.Lock()
 	marked := c.parts.detector.Decide(now)
@@ -254,8 +254,8 @@
 	}
 }
 
-// RepeatMarks tells the other instances again of the marks that this instance has set a short time ago, and
-// from time to time that it still refuses requests for a mark.
+// RepeatMarks broadcasts again the marks that this instance has set within markRepeatTime, and, once in
+// refusalReportInterval, those for which it refuses requests.
 func (c *CrashTracker) RepeatMarks(now time.Time) {
 	c.decide(now)
 	var repeated []markMessage
@@ -279,7 +279,7 @@
 	}
 }
 
-// dropUnmarked forgets what was kept of marks that no longer exist; the caller holds the lock.
+// dropUnmarked deletes the state of marks that no longer exist; the caller holds the lock.
 func (p *partMarks) dropUnmarked() {
 	maps.DeleteFunc(p.own, func(part string, _ bool) bool { return !p.detector.HasMark(part) })
 	maps.DeleteFunc(p.reportedRefusal, func(part string, _ time.Time) bool { return !p.detector.HasMark(part) })
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -218,7 +218,8 @@
 
 func (e *ReplacedError) Error() string { return "the address is that of " + e.Incarnation }
 
-// checkIncarnation asks a target that has lost a request whether it is still there.
+// checkIncarnation checks by a health request which incarnation is at the address of a target that has lost a
+// request.
 func (r *Relay) checkIncarnation(ctx context.Context, a *attempt) error {
 	if a.req.pool.healthCheckPath() == "" {
 		return nil
--- a/internal/relay/limit_test.go
+++ b/internal/relay/limit_test.go
@@ -31,7 +31,7 @@
 	return most
 }
 
-// exchangeProgress lets relays tell each other of their targets until the test ends.
+// exchangeProgress applies the progress of each relay at the others until the test ends.
 func exchangeProgress(t *testing.T, relays []*testRelay) {
 	done := make(chan struct{})
 	t.Cleanup(func() { close(done) })
@@ -175,8 +175,7 @@
 	}
 }
 
-// Guards against a stream that is not begun because its engine's limit is known, while another engine has
-// none.
+// Guards against a stream that is refused because one engine has a limit, while another has none.
 func TestStreamsUseEnginesWithoutLimit(t *testing.T) {
 	limited := startStub(t, "e1", func(c net.Conn, r *http.Request, _ string) bool {
 		return writeResponse(c, r, 503, "full", "Not-Run: 1", "Limit: 0")
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -194,8 +194,7 @@
 	return st.nextCheck(now), true
 }
 
-// endMarkedAttempt ends an attempt that was sent before its request was found to crash targets, and whose
-// target has not begun to answer.
+// endMarkedAttempt ends an attempt that has no event yet and was sent before its request was marked.
 func (st *streamHandler) endMarkedAttempt(current *attempt) {
 	if current.isUnanswered() {
 		st.acceptedCount++
--- a/pkg/booking/partcrash.go
+++ b/pkg/booking/partcrash.go
@@ -1,13 +1,12 @@
 package booking
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
 
 const (
-	// minPartCrashes is the number of separate crashes after which a part that has not been served lately is
+	// minPartCrashes is the number of separate crashes after which a part that has no recent answer is
 	// marked, and minServedPartCrashes the number for one that has: the requests of a popular part are present
 	// at many crashes.
 	minPartCrashes       = 3
@@ -24,11 +23,11 @@
 	separateCrashes = 200 * time.Millisecond
 	// recentAnswer is how long an answer counts as recent.
 	recentAnswer = 30 * time.Second
-	// minRecentAnswers is the number of recent answers that must be known before a part counts as not served
-	// lately.
+	// minRecentAnswers is the number of recent answers that must be known before a part counts as having
+	// none.
 	minRecentAnswers = 8
 	// minAnswersSince is the number of answers that must have begun since the first crash with a part that has
-	// been served lately: if none does, the targets crash for all requests.
+	// recent answers: if fewer do, the targets crash for all requests.
 	minAnswersSince = 3
 	// maxPartCrashes, maxCrashParticipants, maxPartMarks and maxServedParts bound what is held.
 	maxPartCrashes       = 256
@@ -56,19 +55,6 @@
 	Parts []string
 }
 
-// PartMark says that requests with a part crash their targets.
-type PartMark struct {
-	Part string
-	// Crashes is the number of crashes that the mark is based on, and LastCrash the time of the last one.
-	Crashes   int
-	LastCrash time.Time
-	// FirstCrash is the time of the first of these crashes.
-	FirstCrash time.Time
-	// MarkedAt is when this instance learned it, and RefusedAt when it last refused a request for it.
-	MarkedAt  time.Time
-	RefusedAt time.Time
-}
-
 // PartCrashDetector finds parts of prompts that crash each target that begins to answer a request with
 // them. Set its exported fields before the first call.
 //
@@ -113,39 +99,6 @@
 	seenAt  time.Time
 }
 
-// partEvidence is what the crashes say about one part.
-type partEvidence struct {
-	part string
-	// crashes counts the separate crashes, present all at which the part was present.
-	crashes int
-	present int
-	first   time.Time
-	last    time.Time
-	// requests holds the requests with the part at each counted crash.
-	requests [][]string
-}
-
-// otherRequests returns the number of counted crashes at which another request than the most frequent one
-// was present.
-func (e *partEvidence) otherRequests() int {
-	counts, frequent := map[string]int{}, ""
-	for _, list := range e.requests {
-		for _, r := range list {
-			counts[r]++
-			if counts[r] > counts[frequent] {
-				frequent = r
-			}
-		}
-	}
-	n := 0
-	for _, list := range e.requests {
-		if slices.ContainsFunc(list, func(r string) bool { return r != frequent }) {
-			n++
-		}
-	}
-	return n
-}
-
 // RecordCrash records that a request was lost in a crash.
 func (d *PartCrashDetector) RecordCrash(now time.Time, c PartCrash) {
 	if len(c.Parts) == 0 || now.Sub(c.At) > d.Retention {
@@ -230,214 +183,12 @@
 	d.arrivals = append(d.arrivals, parts)
 }
 
-// explainsOutage reports whether a part that few requests have was present at most crashes. That holds also
-// while nothing is served, since its requests crash all targets.
-func (d *PartCrashDetector) explainsOutage(e *partEvidence) bool {
-	if e.crashes < minServedPartCrashes || len(d.arrivals) < minArrivals {
-		return false
-	}
-	with := 0
-	for _, parts := range d.arrivals {
-		if slices.Contains(parts, e.part) {
-			with++
-		}
-	}
-	return 2*with <= len(d.arrivals) && 10*e.present >= 9*len(d.crashes)
-}
-
 // LastServed returns when the last recent answer to a request with a part began.
 func (d *PartCrashDetector) LastServed(now time.Time, part string) (time.Time, bool) {
 	at, ok := d.served[part]
 	return at, ok && now.Sub(at) < recentAnswer
 }
 
-// Mark records a mark that another instance has set, and reports whether it is new. It is ignored if an
-// answer to a request with the part has begun since the first crash.
-func (d *PartCrashDetector) Mark(now time.Time, m PartMark) bool {
-	if d.marks[m.Part] != nil || d.served[m.Part].After(m.FirstCrash) {
-		return false
-	}
-	d.setMark(now, m)
-	return true
-}
-
-// Unmark removes a mark.
-func (d *PartCrashDetector) Unmark(part string) { delete(d.marks, part) }
-
-func (d *PartCrashDetector) setMark(now time.Time, m PartMark) {
-	d.dropExpired(now)
-	if d.marks == nil {
-		d.marks = map[string]*PartMark{}
-	}
-	if len(d.marks) >= maxPartMarks {
-		oldest := slices.MinFunc(d.Marks(now), func(a, b PartMark) int { return a.RefusedAt.Compare(b.RefusedAt) })
-		delete(d.marks, oldest.Part)
-	}
-	m.MarkedAt, m.RefusedAt = now, now
-	d.marks[m.Part] = &m
-}
-
-// Marked returns the mark of the first part of a prompt that has one.
-func (d *PartCrashDetector) Marked(now time.Time, parts []string) (PartMark, bool) {
-	for _, part := range parts {
-		if m := d.marks[part]; m != nil && !d.isOver(now, m) {
-			return *m, true
-		}
-	}
-	return PartMark{}, false
-}
-
-// RecordRefusal records that a request was refused because of a part, which keeps the part marked.
-func (d *PartCrashDetector) RecordRefusal(now time.Time, part string) {
-	if m := d.marks[part]; m != nil && now.After(m.RefusedAt) {
-		m.RefusedAt = now
-	}
-}
-
-// Marks returns the marks in force, ordered by part.
-func (d *PartCrashDetector) Marks(now time.Time) []PartMark {
-	list := make([]PartMark, 0, len(d.marks))
-	for _, m := range d.marks {
-		if !d.isOver(now, m) {
-			list = append(list, *m)
-		}
-	}
-	slices.SortFunc(list, func(a, b PartMark) int { return cmp.Compare(a.Part, b.Part) })
-	return list
-}
-
-// HasMark reports whether a part may be marked.
-func (d *PartCrashDetector) HasMark(part string) bool { return d.marks[part] != nil }
-
-// HasMarks reports whether there may be a mark.
-func (d *PartCrashDetector) HasMarks() bool { return len(d.marks) > 0 }
-
-// isOver reports whether a mark no longer holds.
-func (d *PartCrashDetector) isOver(now time.Time, m *PartMark) bool {
-	return now.Sub(m.RefusedAt) > d.MarkTime || now.Sub(m.MarkedAt) > maxMarkAge
-}
-
-// Decide marks the parts against which the evidence is sufficient, and returns the new marks.
-func (d *PartCrashDetector) Decide(now time.Time) []PartMark {
-	if !d.undecided || now.Sub(d.decidedAt) < decideInterval {
-		return nil
-	}
-	d.undecided, d.decidedAt = false, now
-	d.dropExpired(now)
-	var marked []PartMark
-	for {
-		list := d.evidence()
-		if len(list) == 0 {
-			return marked
-		}
-		most := slices.MaxFunc(list, func(a, b *partEvidence) int { return cmp.Compare(a.crashes, b.crashes) }).crashes
-		list = slices.DeleteFunc(list, func(e *partEvidence) bool { return e.crashes < most || !d.isSufficient(now, e) })
-		if len(list) == 0 || len(list) > 1 && most < minServedPartCrashes {
-			// Parts that were present together so far may still be told apart.
-			return marked
-		}
-		for _, e := range list {
-			m := PartMark{Part: e.part, Crashes: e.crashes, FirstCrash: e.first, LastCrash: e.last}
-			d.setMark(now, m)
-			marked = append(marked, m)
-		}
-	}
-}
-
-// isSufficient reports whether the evidence against a part suffices to mark it.
-func (d *PartCrashDetector) isSufficient(now time.Time, e *partEvidence) bool {
-	if e.otherRequests() < minOtherRequests {
-		return false
-	}
-	recent, seenSince, begunSince := 0, 0, 0
-	for _, a := range d.answers {
-		if now.Sub(a.seenAt) < recentAnswer {
-			recent++
-		}
-		if a.seenAt.After(e.first) {
-			seenSince++
-		}
-		if a.begunAt.After(e.first) {
-			begunSince++
-		}
-	}
-	if _, served := d.LastServed(now, e.part); served || recent < minRecentAnswers {
-		return e.crashes >= minServedPartCrashes && begunSince >= minAnswersSince || d.explainsOutage(e)
-	}
-	return e.crashes >= minPartCrashes && seenSince > 0 || d.explainsOutage(e)
-}
-
-// evidence returns what the crashes that no marked part explains say about the parts that were present at
-// enough of them.
-func (d *PartCrashDetector) evidence() []*partEvidence {
-	present := map[string][]int{}
-	for i := range d.crashes {
-		c := &d.crashes[i]
-		if slices.ContainsFunc(c.participants, func(p participant) bool { return d.marks[p.part] != nil }) {
-			continue
-		}
-		for _, p := range c.participants {
-			if list := present[p.part]; len(list) == 0 || list[len(list)-1] != i {
-				present[p.part] = append(list, i)
-			}
-		}
-	}
-	var list []*partEvidence
-	for part, crashes := range present {
-		if len(crashes) < minPartCrashes {
-			continue
-		}
-		if e := d.partEvidence(part, crashes); e.crashes >= minPartCrashes {
-			list = append(list, e)
-		}
-	}
-	return list
-}
-
-// partEvidence returns the evidence against a part that was present at the given crashes.
-func (d *PartCrashDetector) partEvidence(part string, present []int) *partEvidence {
-	e := &partEvidence{part: part, present: len(present)}
-	for _, i := range present {
-		c := &d.crashes[i]
-		if e.crashes > 0 && c.at.Sub(e.last) < separateCrashes || d.hasCommonCause(i, present) {
-			continue
-		}
-		if e.crashes == 0 {
-			e.first = c.at
-		}
-		e.crashes++
-		e.last = c.at
-		var requests []string
-		for _, p := range c.participants {
-			if p.part == part {
-				requests = append(requests, p.request)
-			}
-		}
-		e.requests = append(e.requests, requests)
-	}
-	return e
-}
-
-// hasCommonCause reports whether so many targets crashed at the same moment as at crash i without a part
-// that the part is not the cause; present holds the crashes at which the part was present.
-func (d *PartCrashDetector) hasCommonCause(i int, present []int) bool {
-	at, from, to := d.crashes[i].at, i, i+1
-	for from > 0 && at.Sub(d.crashes[from-1].at) <= commonCauseWindow {
-		from--
-	}
-	for to < len(d.crashes) && d.crashes[to].at.Sub(at) <= commonCauseWindow {
-		to++
-	}
-	with := 0
-	for _, j := range present {
-		if from <= j && j < to {
-			with++
-		}
-	}
-	without := to - from - with
-	return without >= minCommonCause && without > 2*with
-}
-
 func (d *PartCrashDetector) dropExpired(now time.Time) {
 	d.crashes = slices.DeleteFunc(d.crashes, func(c targetCrash) bool { return now.Sub(c.at) > d.Retention })
 	for part, m := range d.marks {
--- /dev/null
+++ b/pkg/booking/partevidence.go
@@ -0,0 +1,176 @@
+package booking
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// partEvidence is what the crashes say about one part.
+type partEvidence struct {
+	part string
+	// crashes counts the separate crashes, present all at which the part was present.
+	crashes int
+	present int
+	first   time.Time
+	last    time.Time
+	// requests holds the requests with the part at each counted crash.
+	requests [][]string
+}
+
+// otherRequests returns the number of counted crashes at which another request than the most frequent one
+// was present.
+func (e *partEvidence) otherRequests() int {
+	counts, frequent := map[string]int{}, ""
+	for _, list := range e.requests {
+		for _, r := range list {
+			counts[r]++
+			if counts[r] > counts[frequent] {
+				frequent = r
+			}
+		}
+	}
+	n := 0
+	for _, list := range e.requests {
+		if slices.ContainsFunc(list, func(r string) bool { return r != frequent }) {
+			n++
+		}
+	}
+	return n
+}
+
+// Decide marks the parts against which the evidence is sufficient, and returns the new marks.
+func (d *PartCrashDetector) Decide(now time.Time) []PartMark {
+	if !d.undecided || now.Sub(d.decidedAt) < decideInterval {
+		return nil
+	}
+	d.undecided, d.decidedAt = false, now
+	d.dropExpired(now)
+	var marked []PartMark
+	for {
+		list := d.evidence()
+		if len(list) == 0 {
+			return marked
+		}
+		most := slices.MaxFunc(list, func(a, b *partEvidence) int { return cmp.Compare(a.crashes, b.crashes) }).crashes
+		list = slices.DeleteFunc(list, func(e *partEvidence) bool { return e.crashes < most || !d.isSufficient(now, e) })
+		if len(list) == 0 || len(list) > 1 && most < minServedPartCrashes {
+			// Parts that were present together so far may still be told apart.
+			return marked
+		}
+		for _, e := range list {
+			m := PartMark{Part: e.part, Crashes: e.crashes, FirstCrash: e.first, LastCrash: e.last}
+			d.setMark(now, m)
+			marked = append(marked, m)
+		}
+	}
+}
+
+// isSufficient reports whether the evidence against a part suffices to mark it.
+func (d *PartCrashDetector) isSufficient(now time.Time, e *partEvidence) bool {
+	if e.otherRequests() < minOtherRequests {
+		return false
+	}
+	recent, seenSince, begunSince := 0, 0, 0
+	for _, a := range d.answers {
+		if now.Sub(a.seenAt) < recentAnswer {
+			recent++
+		}
+		if a.seenAt.After(e.first) {
+			seenSince++
+		}
+		if a.begunAt.After(e.first) {
+			begunSince++
+		}
+	}
+	if _, served := d.LastServed(now, e.part); served || recent < minRecentAnswers {
+		return e.crashes >= minServedPartCrashes && begunSince >= minAnswersSince || d.explainsOutage(e)
+	}
+	return e.crashes >= minPartCrashes && seenSince > 0 || d.explainsOutage(e)
+}
+
+// evidence returns what the crashes that no marked part explains say about the parts that were present at
+// enough of them.
+func (d *PartCrashDetector) evidence() []*partEvidence {
+	present := map[string][]int{}
+	for i := range d.crashes {
+		c := &d.crashes[i]
+		if slices.ContainsFunc(c.participants, func(p participant) bool { return d.marks[p.part] != nil }) {
+			continue
+		}
+		for _, p := range c.participants {
+			if list := present[p.part]; len(list) == 0 || list[len(list)-1] != i {
+				present[p.part] = append(list, i)
+			}
+		}
+	}
+	var list []*partEvidence
+	for part, crashes := range present {
+		if len(crashes) < minPartCrashes {
+			continue
+		}
+		if e := d.partEvidence(part, crashes); e.crashes >= minPartCrashes {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// partEvidence returns the evidence against a part that was present at the given crashes.
+func (d *PartCrashDetector) partEvidence(part string, present []int) *partEvidence {
+	e := &partEvidence{part: part, present: len(present)}
+	for _, i := range present {
+		c := &d.crashes[i]
+		if e.crashes > 0 && c.at.Sub(e.last) < separateCrashes || d.hasCommonCause(i, present) {
+			continue
+		}
+		if e.crashes == 0 {
+			e.first = c.at
+		}
+		e.crashes++
+		e.last = c.at
+		var requests []string
+		for _, p := range c.participants {
+			if p.part == part {
+				requests = append(requests, p.request)
+			}
+		}
+		e.requests = append(e.requests, requests)
+	}
+	return e
+}
+
+// hasCommonCause reports whether so many targets crashed at the same moment as at crash i without a part
+// that the part is not the cause; present holds the crashes at which the part was present.
+func (d *PartCrashDetector) hasCommonCause(i int, present []int) bool {
+	at, from, to := d.crashes[i].at, i, i+1
+	for from > 0 && at.Sub(d.crashes[from-1].at) <= commonCauseWindow {
+		from--
+	}
+	for to < len(d.crashes) && d.crashes[to].at.Sub(at) <= commonCauseWindow {
+		to++
+	}
+	with := 0
+	for _, j := range present {
+		if from <= j && j < to {
+			with++
+		}
+	}
+	without := to - from - with
+	return without >= minCommonCause && without > 2*with
+}
+
+// explainsOutage reports whether a part that few requests have was present at most crashes. That holds also
+// while nothing is served, since its requests crash all targets.
+func (d *PartCrashDetector) explainsOutage(e *partEvidence) bool {
+	if e.crashes < minServedPartCrashes || len(d.arrivals) < minArrivals {
+		return false
+	}
+	with := 0
+	for _, parts := range d.arrivals {
+		if slices.Contains(parts, e.part) {
+			with++
+		}
+	}
+	return 2*with <= len(d.arrivals) && 10*e.present >= 9*len(d.crashes)
+}
