--- /dev/null
+++ b/internal/relay/cut_test.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// cutDuration is how long the links of some relays are cut; adaptTime is the time from its beginning after
+	// which requests count.
+	cutDuration = 4 * time.Second
+	adaptTime   = time.Second
+	// minCutShare is the least share of first tries that cut relays serve, of the others' share, and
+	// minOtherShare the least that the others serve.
+	minCutShare   = 0.95
+	minOtherShare = 0.97
+)
+
+// Guards against instances that serve almost nothing while only their own links to the targets are cut, and
+// against a cut that spoils the others.
+func TestInstancesWithoutPathToTargetsServeTheirCallers(t *testing.T) {
+	all := []int{0, 1, 2, 3, 4, 5}
+	for _, c := range []struct {
+		name string
+		mode cutMode
+		// cutRelays is the number of relays that are cut, of four, and targets those that they lose.
+		cutRelays int
+		targets   []int
+	}{
+		{"silent", cutSilent, 2, all},
+		{"reset", cutReset, 2, all},
+		{"new_connections", cutNewConns, 2, all},
+		{"most_instances", cutSilent, 3, all},
+		{"half_of_the_targets", cutSilent, 2, all[:3]},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			engine := &fleetEngine{}
+			f := startFleet(t, 4, engine.stubs(t, len(all)))
+			time.Sleep(500 * time.Millisecond)
+			isCut := func(relay int) bool { return relay < c.cutRelays }
+			cutAt := time.Now().Add(time.Second)
+			time.AfterFunc(time.Second, func() {
+				for i := range c.cutRelays {
+					f.cut(i, c.mode, c.targets)
+				}
+			})
+			time.AfterFunc(time.Second+cutDuration, func() {
+				for i := range c.cutRelays {
+					f.cut(i, "", c.targets)
+				}
+			})
+			list := f.runTraffic(40*time.Millisecond, time.Second+cutDuration+2*time.Second)
+			engine.requireSafe(t, list)
+			atCut, atOthers := servedShare(list, isCut, cutAt.Add(adaptTime), cutAt.Add(cutDuration))
+			t.Logf("served of first tries: %.3f at cut instances, %.3f at others", atCut, atOthers)
+			firstCut, _ := servedShare(list, isCut, cutAt, cutAt.Add(adaptTime))
+			t.Logf("in the first second: %.3f at cut instances", firstCut)
+			require.GreaterOrEqual(t, atOthers, minOtherShare)
+			require.GreaterOrEqual(t, atCut, minCutShare*atOthers)
+			after, _ := servedShare(list, isCut, cutAt.Add(cutDuration+adaptTime), cutAt.Add(time.Hour))
+			require.GreaterOrEqual(t, after, minOtherShare, "after the cut")
+			for i, tr := range f.relays {
+				require.Empty(t, tr.log.reasons(t, "target_crashed"), "relay %d: no target has crashed", i)
+				require.Empty(t, tr.log.reasons(t, "request_marked"), "relay %d: no request crashes targets", i)
+				if !isCut(i) {
+					require.NotContains(t, tr.log.reasons(t, "attempt_lost"), reasonLostByOthers, "relay %d reaches all targets", i)
+				}
+			}
+		})
+	}
+}
