Log targets that can't be reached as such

What callers and operators saw: an instance whose connections to targets were refused or timed out logged attempts with refused_by_target and refused requests as targets_refuse, which reads like an overload.

Cause: an attempt without a connection counted as a target's statement that it did not run the request, since both prove the same. Change: they are counted apart. Such attempts end with unreachable, the next one begins with target_unreachable, and the refusal is targets_unreachable unless a target has refused, too. What is sent, and how often, does not change. Test: TestUnreachableTargetsAreNotLoggedAsRefusing; its code does not exist before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -272,6 +272,8 @@
 const (
 	// reasonConnectionLost is the reason for an attempt whose connection was reset or closed.
 	reasonConnectionLost = "connection_lost"
+	// reasonUnreachable is the reason for an attempt for which no connection could be made.
+	reasonUnreachable = "unreachable"
 	// reasonLostByOthers is the reason for an attempt whose target other instances have lost.
 	reasonLostByOthers = "lost_by_others"
 )
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -17,7 +17,8 @@
 	// maxBufferedBody bounds the part of a response that is buffered until it is known to be
 	// complete.
 	maxBufferedBody = 256 << 10
-	// allRefusedRetryAfter is the time after which a caller may retry when all targets have refused.
+	// allRefusedRetryAfter is the time after which a caller may retry when all targets have refused or could not
+	// be reached.
 	allRefusedRetryAfter = 200 * time.Millisecond
 	// maxRefusals bounds the refusals of a call after which no further target is tried.
 	maxRefusals = 3
@@ -51,8 +52,10 @@
 	openAttempts int
 	// possibleRuns is the number of targets that may have run the call.
 	possibleRuns int
-	refusals     int
-	lastFailure  *attemptResult
+	// refusals is the number of targets that refused the call, and unreachable that of targets without a connection.
+	refusals    int
+	unreachable int
+	lastFailure *attemptResult
 }
 
 // serveCall sends a call until it has a response, as often as its kind allows.
@@ -149,8 +152,14 @@
 	}
 	if result.notRun {
 		c.possibleRuns--
-		c.refusals++
-		if now := time.Now(); c.refusals < maxRefusals && now.Before(c.req.deadline) && !c.relay.Crashes.isMarked(now, c.req) && c.startAttempt(ctx, "refused_by_target") {
+		reason := "refused_by_target"
+		if result.attempt.sent {
+			c.refusals++
+		} else {
+			c.unreachable++
+			reason = "target_unreachable"
+		}
+		if now := time.Now(); c.refusals+c.unreachable < maxRefusals && now.Before(c.req.deadline) && !c.relay.Crashes.isMarked(now, c.req) && c.startAttempt(ctx, reason) {
 			return false
 		}
 	} else {
@@ -175,7 +184,7 @@
 			refusal = c.req.backoffRefusal(time.Now(), 0)
 		}
 		if refusal == nil {
-			refusal = notRunRefusal(codeTargetsRefuse, jitter(allRefusedRetryAfter))
+			refusal = allRefusedRefusal(c.refusals)
 		}
 		c.relay.refuse(c.w, c.req, refusal)
 	case result.err == nil:
@@ -212,7 +221,11 @@
 		result.notRun = !a.sent
 		cancelled := errors.Is(ctx.Err(), context.Canceled) || isMarkedError(result.err)
 		a.wentSilent = isSilence(result.err)
-		a.finish(now, engine.RequestResult{Unreachable: !cancelled && !a.pastDeadline(now), Cancelled: cancelled}, false, lossReason(result.err))
+		reason := lossReason(result.err)
+		if !a.sent && reason == reasonConnectionLost {
+			reason = reasonUnreachable
+		}
+		a.finish(now, engine.RequestResult{Unreachable: !cancelled && !a.pastDeadline(now), Cancelled: cancelled}, false, reason)
 		return result
 	}
 	if a.handleRefusal() {
--- a/internal/relay/cut_test.go
+++ b/internal/relay/cut_test.go
@@ -72,3 +72,27 @@
 		})
 	}
 }
+
+// Guards against a log that reports an overload when no target was reached.
+func TestUnreachableTargetsAreNotLoggedAsRefusing(t *testing.T) {
+	for _, path := range []string{"/book/1", "/view/1", "/draft/1"} {
+		t.Run(path, func(t *testing.T) {
+			var stubs []*engineStub
+			for _, id := range []string{"e1", "e2", "e3", "e4"} {
+				s := startStub(t, id, nil)
+				require.NoError(t, s.closeListener())
+				stubs = append(stubs, s)
+			}
+			tr := startRelay(t, stubs...)
+			got := tr.request("POST", path, "x", "Patience", "400ms")
+			require.NoError(t, got.err)
+			require.Equal(t, 503, got.status)
+			require.Contains(t, got.body, codeTargetsUnreachable)
+			require.Equal(t, []string{codeTargetsUnreachable}, tr.log.reasons(t, "request_refused"))
+			for _, why := range tr.log.reasons(t, "attempt_ended") {
+				require.Equal(t, reasonUnreachable, why)
+			}
+			require.NotContains(t, tr.log.reasons(t, "attempt_begun"), "refused_by_target")
+		})
+	}
+}
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -23,11 +23,13 @@
 	codeBodyMalformed = "body_malformed"
 	codeNoTarget      = "no_target"
 	codeTargetsRefuse = "targets_refuse"
-	codeStopping      = "instance_stopping"
-	codeTimeout       = "timeout"
-	codeTargetLost    = "target_lost"
-	codeBadAnswer     = "bad_answer"
-	codeCrashes       = "crashes_targets"
+	// codeTargetsUnreachable says that no connection to a target could be made.
+	codeTargetsUnreachable = "targets_unreachable"
+	codeStopping           = "instance_stopping"
+	codeTimeout            = "timeout"
+	codeTargetLost         = "target_lost"
+	codeBadAnswer          = "bad_answer"
+	codeCrashes            = "crashes_targets"
 	// codePartCrashes says that a part of the prompt crashes the targets that answer requests with it.
 	codePartCrashes = "part_crashes_targets"
 	// codeTargetsBackOff says that all targets have asked this instance to send nothing for a time.
@@ -66,6 +68,16 @@
 	return &Refusal{Status: http.StatusServiceUnavailable, Code: code, Outcome: generation.NotRun, RetryAfter: retry}
 }
 
+// allRefusedRefusal returns the refusal of a request that some targets refused and to which no other one could be
+// reached.
+func allRefusedRefusal(refusals int) *Refusal {
+	code := codeTargetsUnreachable
+	if refusals > 0 {
+		code = codeTargetsRefuse
+	}
+	return notRunRefusal(code, jitter(allRefusedRetryAfter))
+}
+
 // timeoutRefusal returns the response to a request that may have run and got no response by its
 // deadline.
 func timeoutRefusal() *Refusal {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -65,8 +65,10 @@
 	backupEngine netip.AddrPort
 	// acceptedCount is the number of targets that accepted the stream or may have.
 	acceptedCount int
-	refusals      int
-	failure       *generation.Failure
+	// refusals is the number of targets that refused the stream, and unreachable that of targets without a connection.
+	refusals    int
+	unreachable int
+	failure     *generation.Failure
 	// aborted is set when the response to the caller can't continue.
 	aborted    bool
 	lastSentAt time.Time
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -105,7 +105,8 @@
 	case err != nil && !current.sent:
 		ev.Kind = generation.Unreachable
 		current.wentSilent = isSilence(err)
-		st.endAttempt(engine.RequestResult{Unreachable: st.ctx.Err() == nil}, false, "unreachable")
+		st.unreachable++
+		st.endAttempt(engine.RequestResult{Unreachable: st.ctx.Err() == nil}, false, reasonUnreachable)
 	case err != nil:
 		st.acceptedCount++
 		ev.Kind = generation.ConnectionLost
--- a/internal/relay/stream_end.go
+++ b/internal/relay/stream_end.go
@@ -55,8 +55,8 @@
 		return marked
 	case st.backoffRefusal != nil:
 		return st.backoffRefusal
-	case st.acceptedCount == 0 && st.refusals > 0:
-		return notRunRefusal(codeTargetsRefuse, jitter(allRefusedRetryAfter))
+	case st.acceptedCount == 0 && st.refusals+st.unreachable > 0:
+		return allRefusedRefusal(st.refusals)
 	case st.acceptedCount == 0:
 		return notRunRefusal(codeNoTarget, jitter(unavailableRetryAfter))
 	case interrupted != nil:
