Connect to targets through other instances when the own links are cut

Cause: an instance dials targets from itself only, and what fails is believed of the targets, request by request. Nothing is ever learnt about the instance's own links. Class: a single path whose loss looks like the loss of what it leads to.

Change: a connection is made directly or, after 50 ms or a failure, through another instance (a carrier), and the first one that works is used. The instance keeps the request, its proofs, deadlines and limits; a carrier splices bytes and decides nothing. A direct path counts as lost once a direct connection that began after a carrier had reached the target has failed; with three targets of a pool it is lost to the whole pool. Then carriers go first, kept direct connections are used only while data proves them, silent attempts are moved, and one direct connection now and then (0.5 to 2 s, with jitter) shows when the path is back. A pool that brings no data while a request waits is checked by a new connection. pkg/link decides and is played in a model; internal/tunnel carries; internal/relay/dial.go holds the race.

Why it works: a verdict needs another instance's success, so that an outage of targets, which all share, is never one. The bytes of a target come in frames with an end of their own, since a carrier that dies must not look like the end of an answer. A tunnel leads to targets of the carrier's own roster only, by name, and is opened for listed members with the key of their entry in the store, which datagrams don't carry.

Weighed: handing the request over to another instance's normal path. Fewer bytes to reason about, but a second owner of the attempt: proofs of not run, maxAttempts, budget, key and deadline would have to hold across the hop.

A request that was written into a connection that hangs or is reset at the cut stays unknown (502 or 504).

--- a/internal/feed/membership.go
+++ b/internal/feed/membership.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/subtle"
 	"encoding/json"
 	"maps"
 	"math/rand/v2"
@@ -30,6 +31,10 @@
 	DataCentre string         `json:"data_centre"`
 	// StartedAt is when its process started.
 	StartedAt time.Time `json:"started"`
+	// TunnelAddress is where it carries connections for other instances, or the zero value; TunnelKey proves to
+	// others that a connection is from this instance.
+	TunnelAddress netip.AddrPort `json:"tunnel,omitzero"`
+	TunnelKey     string         `json:"tunnel_key,omitempty"`
 }
 
 // PeerCaller calls a method of another instance; it is *peer.Network.
@@ -178,6 +183,27 @@
 	return slices.DeleteFunc(list, func(a netip.AddrPort) bool { return a == m.Self })
 }
 
+// Others returns the other members.
+func (m *Membership) Others() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := make([]Member, 0, len(m.members))
+	for _, member := range m.members {
+		if member.Address != m.Self {
+			list = append(list, member)
+		}
+	}
+	return list
+}
+
+// HasTunnelKey reports whether a member with an address has a key.
+func (m *Membership) HasTunnelKey(address, key string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	member, ok := m.members[m.KeyPrefix+address]
+	return ok && key != "" && subtle.ConstantTimeCompare([]byte(member.TunnelKey), []byte(key)) == 1
+}
+
 // FetchSnapshotAfter asks two random members at a time until one has a copy newer than a version.
 func (m *Membership) FetchSnapshotAfter(ctx context.Context, after Version) (Snapshot, string, bool) {
 	list := m.OtherAddresses()
--- a/internal/gossip/progress.go
+++ b/internal/gossip/progress.go
@@ -40,6 +40,23 @@
 	BackoffMillis map[string]int64 `json:"backoff_ms,omitempty"`
 	// Limits holds what targets have recently stated to this instance about the requests that they take.
 	Limits map[string]LimitStatement `json:"limits,omitempty"`
+	// Links is what this instance knows about its own links to targets.
+	Links LinkStatement `json:"links,omitzero"`
+}
+
+// LinkStatement is what an instance states about its own links to targets.
+type LinkStatement struct {
+	// LostPools are the pools of targets to which none of its direct connections works. Stopping is set if it carries no
+	// further connections for others.
+	LostPools []string `json:"lost,omitempty"`
+	Stopping  bool     `json:"stopping,omitempty"`
+	// ContactMillis holds the time since it last received data from a target over a direct connection, by pool.
+	ContactMillis map[string]int64 `json:"contact_ms,omitempty"`
+}
+
+// IsZero reports whether nothing is stated.
+func (s LinkStatement) IsZero() bool {
+	return len(s.LostPools)+len(s.ContactMillis) == 0 && !s.Stopping
 }
 
 // LimitStatement is what a target has stated about the requests that it takes from all instances together.
@@ -87,7 +104,7 @@
 			return ctx.Err()
 		}
 		m := progressMessage{Instance: x.Instance, Progress: x.LocalProgress(time.Now())}
-		empty = len(m.InProgress)+len(m.AttemptCounts)+len(m.Successors)+len(m.LeavingTargets)+len(m.BackoffMillis)+len(m.Limits) == 0
+		empty = len(m.InProgress)+len(m.AttemptCounts)+len(m.Successors)+len(m.LeavingTargets)+len(m.BackoffMillis)+len(m.Limits) == 0 && len(m.Links.LostPools) == 0 && !m.Links.Stopping
 		if err := x.broadcast(&m); err != nil {
 			return err
 		}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"bambooferry.example/bambooferry/internal/tunnel"
 	"bambooferry.example/bambooferry/pkg/engine"
 	"bambooferry.example/bambooferry/pkg/route"
 	"bambooferry.example/bambooferry/pkg/timeline"
@@ -72,7 +73,11 @@
 
 // sendRequest connects, sends the request and reads the response header.
 func (a *attempt) sendRequest(ctx context.Context, info AttemptInfo, nextCheck time.Time, onSilence silenceFunc) error {
-	c, err := a.relay.targetConns.get(ctx, a.target.Address)
+	connect := a.relay.targetConns.get
+	if a.req.keptConnLost.Load() {
+		connect = a.relay.targetConns.dial
+	}
+	c, err := connect(ctx, a.target)
 	if err != nil {
 		return err
 	}
@@ -176,6 +181,16 @@
 	if result.Unreachable {
 		a.relay.targetConns.closeIdle(a.target.Address)
 	}
+	if result.Unreachable && a.sent && a.conn.reused && !a.conn.dataReceived {
+		a.req.keptConnLost.Store(true)
+	}
+	if a.conn != nil && a.conn.carrierLost {
+		a.relay.Links.recordCarrierFailure(now, a.conn.carrier, "")
+	}
+	if result.Unreachable && a.pathLost() {
+		result = engine.RequestResult{Cancelled: true}
+		a.wentSilent = false
+	}
 	a.req.pool.recordEnded(now, a.target, result, a.wentSilent, took)
 	a.observeResult(now, result)
 	// Only data after the target's own response proves that the target was alive: another target
@@ -199,11 +214,27 @@
 	}
 	a.relay.instruments.recordAttempt(a.req, reason)
 	a.relay.Log.Write(now, timeline.Event{
-		Kind: kind, Request: a.req.ID, Target: a.target.ID, Attempt: a.number, Why: reason,
+		Kind: kind, Request: a.req.ID, Target: a.target.ID, Member: a.carrier(), Attempt: a.number, Why: reason,
 		Inputs: []timeline.Input{{Name: "took_ms", Value: took.Milliseconds()}, {Name: "status", Value: int64(a.status())}},
 	})
 }
 
+// pathLost reports whether the attempt was lost on its way, which says nothing about its target.
+func (a *attempt) pathLost() bool {
+	if a.conn != nil && a.conn.carrier != "" {
+		return a.conn.carrierLost
+	}
+	return a.sent && !a.relay.Links.lostSince(a.target).IsZero()
+}
+
+// carrier names the instance that carried the attempt, or is empty.
+func (a *attempt) carrier() string {
+	if a.conn == nil {
+		return ""
+	}
+	return a.conn.carrier
+}
+
 // answerBegunAt returns when the answer began, as far as it is known.
 func (a *attempt) answerBegunAt() time.Time {
 	if a.firstEventAt.IsZero() {
@@ -253,9 +284,11 @@
 
 // lossReason returns the log's name for a connection error.
 func lossReason(err error) string {
-	switch e := (*ResponseError)(nil); {
+	switch e, carrier := (*ResponseError)(nil), (*tunnel.CarrierError)(nil); {
 	case isMarkedError(err):
 		return codeCrashes
+	case errors.As(err, &carrier):
+		return reasonCarrierLost
 	case errors.As(err, &e):
 		return e.Rule
 	case errors.Is(err, context.Canceled):
@@ -274,6 +307,10 @@
 	reasonConnectionLost = "connection_lost"
 	// reasonUnreachable is the reason for an attempt for which no connection could be made.
 	reasonUnreachable = "unreachable"
+	// reasonCarrierLost is the reason for an attempt whose connection was lost with the instance that carried it.
+	reasonCarrierLost = "carrier_lost"
+	// reasonPathLost is the reason for an attempt that has heard nothing since the direct path to its target was lost.
+	reasonPathLost = "path_lost"
 	// reasonLostByOthers is the reason for an attempt whose target other instances have lost.
 	reasonLostByOthers = "lost_by_others"
 )
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -214,7 +214,7 @@
 // runCall sends a call to one target and reads its response.
 func (a *attempt) runCall(ctx context.Context) *attemptResult {
 	result := &attemptResult{attempt: a}
-	result.err = a.sendRequest(ctx, AttemptInfo{}, a.req.deadline, nil)
+	result.err = a.sendRequest(ctx, AttemptInfo{}, a.startedAt.Add(silentCallTime), a.checkSilentPath)
 	now := time.Now()
 	if result.err != nil {
 		// If the connection could not be established, nothing of the request was sent.
@@ -222,7 +222,7 @@
 		cancelled := errors.Is(ctx.Err(), context.Canceled) || isMarkedError(result.err)
 		a.wentSilent = isSilence(result.err)
 		reason := lossReason(result.err)
-		if !a.sent && reason == reasonConnectionLost {
+		if !a.sent && !cancelled {
 			reason = reasonUnreachable
 		}
 		a.finish(now, engine.RequestResult{Unreachable: !cancelled && !a.pastDeadline(now), Cancelled: cancelled}, false, reason)
@@ -253,6 +253,18 @@
 	return result
 }
 
+// silentCallTime is the time without a response after which the path to a call's target is checked.
+const silentCallTime = 100 * time.Millisecond
+
+// checkSilentPath has the path to a silent target checked; the call waits until its deadline.
+func (a *attempt) checkSilentPath(now time.Time) (time.Time, bool) {
+	if a.pastDeadline(now) {
+		return time.Time{}, false
+	}
+	a.relay.checkSilentTarget(now, a.target, a.startedAt, a.conn)
+	return a.req.deadline, true
+}
+
 func (a *attempt) pastDeadline(now time.Time) bool { return !now.Before(a.req.deadline) }
 
 func resultReason(result *attemptResult) string {
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -12,6 +12,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"bambooferry.example/bambooferry/internal/tunnel"
+	"bambooferry.example/bambooferry/pkg/route"
 )
 
 const (
@@ -42,7 +45,15 @@
 type conn struct {
 	net.Conn
 	address netip.AddrPort
-	reader  *bufio.Reader
+	// carrier names the instance that carries the connection, or is empty; links records the data that comes over
+	// a direct one.
+	carrier string
+	links   *Links
+	pool    string
+	contact *contact
+	// carrierLost is set when the carrier, and not the target, has ended the connection.
+	carrierLost bool
+	reader      *bufio.Reader
 	// headerLimit bounds what is read until the header is complete.
 	headerLimit io.LimitedReader
 	// nextCheck is when onSilence is called; both belong to the request that uses the connection.
@@ -60,8 +71,8 @@
 	lastReadAt   time.Time
 }
 
-func newConn(c net.Conn, address netip.AddrPort) *conn {
-	out := &conn{Conn: c, address: address}
+func newConn(c net.Conn, t route.Target, links *Links, carrier string) *conn {
+	out := &conn{Conn: c, address: t.Address, pool: t.Pool, links: links, carrier: carrier, contact: links.contactOf(t.Pool)}
 	out.headerLimit = io.LimitedReader{R: silenceReader{out}, N: math.MaxInt64}
 	out.reader = bufio.NewReaderSize(&out.headerLimit, readBufferSize)
 	return out
@@ -80,11 +91,11 @@
 		}
 		n, err := c.Conn.Read(b)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.recordRead(time.Now(), n)
+			c.recordRead(time.Now(), n, err)
 			return n, err
 		}
 		if n, err := c.readPending(b); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.recordRead(time.Now(), n)
+			c.recordRead(time.Now(), n, err)
 			return n, err
 		}
 		if c.onSilence == nil {
@@ -98,10 +109,15 @@
 	}
 }
 
-// recordRead records that n bytes were read. They may have arrived long ago if the process was
-// paused.
-func (c *conn) recordRead(now time.Time, n int) {
+// recordRead records the result of a read. Bytes may have arrived long ago if the process was paused.
+func (c *conn) recordRead(now time.Time, n int, err error) {
+	if failure := (*tunnel.CarrierError)(nil); errors.As(err, &failure) {
+		c.carrierLost = true
+	}
 	if n > 0 {
+		if c.carrier == "" {
+			c.links.recordContact(now, c.contact)
+		}
 		c.dataReceived, c.lastHeardAt, c.lastReadAt = true, c.lastReadAt, now
 	}
 }
@@ -155,6 +171,9 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	if carried, ok := c.Conn.(*carriedConn); ok && carried.Buffered() > 0 {
+		return false
+	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
--- a/internal/relay/connpool.go
+++ b/internal/relay/connpool.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"sync"
-	"syscall"
 	"time"
+
+	"bambooferry.example/bambooferry/pkg/route"
 )
 
 const (
-	// dialTimeout bounds connection setup: some round trips within a region, and the target's own
-	// delay of milliseconds.
-	dialTimeout = 300 * time.Millisecond
 	// keepAliveInterval is the time without data after which the kernel probes whether a target's
 	// machine is reachable, and the time between probes; it is the shortest that the kernel
 	// accepts. Two are sent, since links lose packets.
@@ -34,7 +31,9 @@
 
 // connPool keeps idle connections to targets; set its exported fields before the first call.
 type connPool struct {
-	// ObserveDial is called after each attempt to connect.
+	// Links decides over which path a connection is made.
+	Links *Links
+	// ObserveDial is called after each attempt to connect directly.
 	ObserveDial func(took time.Duration, err error)
 
 	mu   sync.Mutex
@@ -42,11 +41,16 @@
 }
 
 // get returns an idle connection to a target, or a new one if there is none.
-func (p *connPool) get(ctx context.Context, address netip.AddrPort) (*conn, error) {
+func (p *connPool) get(ctx context.Context, t route.Target) (*conn, error) {
 	for {
-		c := p.popIdle(time.Now(), address)
+		now := time.Now()
+		c := p.popIdle(now, t.Address)
 		if c == nil {
-			return p.dial(ctx, address)
+			return p.dial(ctx, t)
+		}
+		if !p.Links.mayReuse(now, t, c) {
+			_ = c.Close()
+			continue
 		}
 		if c.isReusable() {
 			c.reused = true
@@ -56,32 +60,6 @@
 	}
 }
 
-func (p *connPool) dial(ctx context.Context, address netip.AddrPort) (*conn, error) {
-	d := net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var sockoptErr error
-			err := raw.Control(func(fd uintptr) {
-				sockoptErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return sockoptErr
-		},
-	}
-	startedAt := time.Now()
-	c, err := d.DialContext(ctx, "tcp", address.String())
-	if p.ObserveDial != nil {
-		p.ObserveDial(time.Since(startedAt), err)
-	}
-	if err != nil {
-		return nil, err
-	}
-	return newConn(c, address), nil
-}
-
 func (p *connPool) popIdle(now time.Time, address netip.AddrPort) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -135,7 +113,7 @@
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Before(c.idleUntil) {
+			if now.Before(c.idleUntil) && (c.carrier == "" || p.Links.isCarrierUsable(now, c.carrier, c.pool)) {
 				kept = append(kept, c)
 				continue
 			}
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -165,7 +165,7 @@
 	r.startProbe(func() {
 		ctx, cancel := context.WithTimeout(r.probeContext, dialTimeout)
 		defer cancel()
-		conn, err := r.targetConns.dial(ctx, a.target.Address)
+		conn, err := r.targetConns.dial(ctx, a.target)
 		if err == nil {
 			r.targetConns.put(time.Now(), conn, 0)
 			if len(a.suspectParts(lostAt)) > 0 {
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -1,11 +1,14 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -13,6 +16,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bambooferry.example/bambooferry/internal/tunnel"
+	"bambooferry.example/bambooferry/pkg/link"
 	"bambooferry.example/bambooferry/pkg/route"
 )
 
@@ -188,11 +193,20 @@
 	// links holds the links of each relay by target.
 	links [][]*targetLink
 	stubs []*engineStub
+	// carriers are the relays as carriers.
+	carriers []link.Carrier
 }
 
 func startFleet(t *testing.T, relays int, stubs []*engineStub) *fleet {
 	t.Helper()
 	f := &fleet{t: t, stubs: stubs}
+	var listeners []net.Listener
+	for i := range relays {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		listeners = append(listeners, ln)
+		f.carriers = append(f.carriers, link.Carrier{Name: strconv.Itoa(i), Address: ln.Addr().(*net.TCPAddr).AddrPort(), DataCentre: "a"})
+	}
 	for i := range relays {
 		var links []*targetLink
 		var seen []*engineStub
@@ -202,12 +216,37 @@
 			seen = append(seen, &engineStub{id: s.id, address: l.address})
 		}
 		f.links = append(f.links, links)
-		f.relays = append(f.relays, startRelayOf(t, relays, i, seen...))
+		name := strconv.Itoa(i)
+		tunnels := &Links{Dialer: &tunnel.Dialer{Instance: name, Key: "key-" + name}, Carriers: func() []link.Carrier { return f.carriersFor(i) }}
+		f.relays = append(f.relays, startRelayWith(t, tunnels, relays, i, seen...))
+	}
+	for i, ln := range listeners {
+		f.startTunnels(i, ln)
 	}
 	f.exchange()
 	return f
 }
 
+// startTunnels lets a relay carry connections for the others.
+func (f *fleet) startTunnels(index int, ln net.Listener) {
+	server := &tunnel.Server{Listener: ln, MaxTunnels: 100, IsMember: func(instance, key string) bool { return key == "key-"+instance }, Connect: f.relays[index].relay.ConnectForOther}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Run(ctx)
+	}()
+	f.t.Cleanup(func() {
+		stop()
+		<-done
+	})
+}
+
+// carriersFor returns the other relays as carriers.
+func (f *fleet) carriersFor(index int) []link.Carrier {
+	return slices.DeleteFunc(slices.Clone(f.carriers), func(c link.Carrier) bool { return c.Name == strconv.Itoa(index) })
+}
+
 // exchange passes the messages of each relay to the others.
 func (f *fleet) exchange() {
 	exchangeProgress(f.t, f.relays)
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -240,19 +240,28 @@
 
 // startRelayOf starts the relay with an index among some instances.
 func startRelayOf(t *testing.T, instances, index int, stubs ...*engineStub) *testRelay {
+	t.Helper()
+	return startRelayWith(t, &Links{}, instances, index, stubs...)
+}
+
+// startRelayWith starts a relay whose connections other instances may carry.
+func startRelayWith(t *testing.T, links *Links, instances, index int, stubs ...*engineStub) *testRelay {
 	t.Helper()
 	callerListener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	readinessListener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	board := blackboard.New()
+	lines := &eventLog{}
+	log := &timeline.Writer{Out: lines, Instance: "i1", Clock: &timeline.Clock{}}
 	targets := &TargetRegistry{
 		DataCentre: "a", RetryRatio: 0.5, RetrySlack: 20, RetryWindow: 10 * time.Second, Instances: func() int { return instances },
 		IsUser: func(target string, users int) bool {
 			return (int(xxhash.Sum64String(target))%instances+instances+index)%instances < users
 		},
-		Seed: uint64(index) + 1,
+		Seed: uint64(index) + 1, Links: links,
 	}
+	links.DataCentre, links.Seed, links.Log = "a", uint64(index)+1, log
 	table := testRelayTable()
 	var list []route.Target
 	for i, s := range stubs {
@@ -260,8 +269,8 @@
 	}
 	targets.Update(time.Now(), table, map[string][]route.Target{"p": list})
 	TableKey.Put(board, table)
-	tr := &testRelay{t: t, callerAddress: callerListener.Addr().String(), readinessAddress: readinessListener.Addr().String(), done: make(chan error, 1), log: &eventLog{}}
-	tr.relay = &Relay{DataCentre: "a", CallerListener: callerListener, ReadinessListener: readinessListener, Codec: testCodec{}, Board: board, Targets: targets, Crashes: &CrashTracker{}, Log: &timeline.Writer{Out: tr.log, Instance: "i1", Clock: &timeline.Clock{}}, GracePeriod: 4 * time.Second, DeregistrationDelay: 100 * time.Millisecond}
+	tr := &testRelay{t: t, callerAddress: callerListener.Addr().String(), readinessAddress: readinessListener.Addr().String(), done: make(chan error, 1), log: lines}
+	tr.relay = &Relay{Links: links, DataCentre: "a", CallerListener: callerListener, ReadinessListener: readinessListener, Codec: testCodec{}, Board: board, Targets: targets, Crashes: &CrashTracker{}, Log: log, GracePeriod: 4 * time.Second, DeregistrationDelay: 100 * time.Millisecond}
 	ctx, stop := context.WithCancel(context.Background())
 	tr.stop = stop
 	go func() { tr.done <- tr.relay.Run(ctx) }()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"bambooferry.example/bambooferry/internal/callerconn"
+	"bambooferry.example/bambooferry/internal/tunnel"
 	"bambooferry.example/bambooferry/pkg/blackboard"
 	"bambooferry.example/bambooferry/pkg/route"
 	"bambooferry.example/bambooferry/pkg/timeline"
@@ -52,6 +53,10 @@
 	Targets *TargetRegistry
 	// Crashes tracks the requests that crash targets.
 	Crashes *CrashTracker
+	// Links holds what is known of the links to targets; if it is nil, no other instance carries connections.
+	Links *Links
+	// Tunnels carries connections for other instances; it may be nil.
+	Tunnels *tunnel.Server
 	Log     *timeline.Writer
 	Metrics *metrics.Set
 	// GracePeriod is the time from a stop until the process is killed. DeregistrationDelay is the
@@ -79,6 +84,11 @@
 func (r *Relay) init() {
 	r.initOnce.Do(func() {
 		r.instruments.register(r.Metrics)
+		if r.Links == nil {
+			r.Links = &Links{}
+		}
+		r.Links.onLost = r.handleLostPath
+		r.targetConns.Links = r.Links
 		r.targetConns.ObserveDial = r.instruments.recordDial
 		r.graceContext, r.interruptRequests = context.WithCancelCause(context.Background())
 		r.callers.Handler, r.callers.ReportUnanswered = http.HandlerFunc(r.serveRequest), r.reportUnanswered
@@ -99,6 +109,9 @@
 	group.Go(func() error { return r.callers.Serve(r.CallerListener) })
 	group.Go(func() error { return ignoreServerClosed(readinessServer.Serve(r.ReadinessListener)) })
 	group.Go(func() error { r.closeIdleConns(background); return nil })
+	if r.Tunnels != nil {
+		group.Go(func() error { return ignoreCancelled(r.Tunnels.Run(background)) })
+	}
 	select {
 	case <-ctx.Done():
 	case <-running.Done():
@@ -132,6 +145,13 @@
 	return err
 }
 
+func ignoreCancelled(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
 // shutDown waits until the load balancer has taken the instance out, then accepts no connections
 // and waits for the requests in progress. Those that are not finished in time are interrupted early
 // enough to be answered.
@@ -139,6 +159,10 @@
 	startedAt := time.Now()
 	r.stoppingSince.Store(&startedAt)
 	r.callers.BeginStop()
+	r.Links.BeginStop()
+	if r.Tunnels != nil {
+		r.Tunnels.BeginStop()
+	}
 	r.Log.Write(startedAt, timeline.Event{Kind: "instance_stopping", Inputs: []timeline.Input{{Name: "grace_ms", Value: r.GracePeriod.Milliseconds()}}})
 	interrupt := time.AfterFunc(time.Until(r.interruptsAt(startedAt)), func() { r.interruptRequests(errGraceOver) })
 	defer interrupt.Stop()
@@ -152,6 +176,9 @@
 			Inputs: []timeline.Input{{Name: "connections", Value: int64(open.Open)}, {Name: "serving", Value: int64(open.Serving)}},
 		})
 	}
+	if r.Tunnels != nil {
+		r.Tunnels.Drain(ctx)
+	}
 	// The listener's error says nothing about connections.
 	_ = r.callers.Close(callerconn.GraceOver)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -162,7 +162,7 @@
 					st.acceptedCount++
 				}
 				silent := action.Reason == generation.SilentAgain
-				st.awaitsReplacement = silent || action.Reason == reasonLostByOthers
+				st.awaitsReplacement = silent || action.Reason == reasonLostByOthers || action.Reason == reasonPathLost
 				st.currentAttempt.wentSilent = silent && !st.currentAttempt.firstEventAt.IsZero()
 				st.endAttempt(engine.RequestResult{Unreachable: silent, Cancelled: !silent}, false, action.Reason)
 			}
@@ -186,7 +186,9 @@
 		return time.Time{}, false
 	}
 	ev := generation.Event{Kind: generation.Ticked}
-	if current.firstEventAt.IsZero() && st.req.pool.lostSince(now, current.target.ID, current.startedAt) {
+	if st.heardNothingSincePathLost(now, current) {
+		ev = generation.Event{Kind: generation.Suspected, Attempt: current.number, Target: current.target.ID, Reason: reasonPathLost}
+	} else if current.firstEventAt.IsZero() && st.req.pool.lostSince(now, current.target.ID, current.startedAt) {
 		ev = generation.Event{Kind: generation.Suspected, Attempt: current.number, Target: current.target.ID, Reason: reasonLostByOthers}
 	}
 	st.performActions(st.gen.Step(now, ev))
@@ -196,6 +198,31 @@
 	return st.nextCheck(now), true
 }
 
+// heardNothingSincePathLost reports whether the direct path to the attempt's target is lost and the attempt has heard
+// nothing since. It has the path checked if that is not known.
+func (st *streamHandler) heardNothingSincePathLost(now time.Time, current *attempt) bool {
+	if current.conn == nil || current.conn.carrier != "" {
+		return false
+	}
+	silentSince := current.conn.lastReadAt
+	if lostAt := st.relay.Links.lostSince(current.target); !lostAt.IsZero() {
+		return !silentSince.After(lostAt)
+	}
+	if patience := silentStreamTime(current); now.Sub(silentSince) >= patience {
+		st.relay.checkSilentTarget(now, current.target, silentSince, current.conn)
+	}
+	return false
+}
+
+// silentStreamTime returns the time without data after which the path to a stream's target is checked: events follow
+// each other sooner than the first one comes.
+func silentStreamTime(current *attempt) time.Duration {
+	if current.firstEventAt.IsZero() {
+		return time.Second
+	}
+	return lossCheckInterval
+}
+
 // endMarkedAttempt ends an attempt that has no event yet and was sent before its request was marked.
 func (st *streamHandler) endMarkedAttempt(current *attempt) {
 	if current.isUnanswered() {
--- a/internal/relay/successor.go
+++ b/internal/relay/successor.go
@@ -63,7 +63,7 @@
 
 // incarnationAt asks which incarnation is at a target's address.
 func (r *Relay) incarnationAt(ctx context.Context, p *pool, t route.Target) (string, error) {
-	c, err := r.targetConns.dial(ctx, t.Address)
+	c, err := r.targetConns.dialKnownPath(ctx, t)
 	if err != nil {
 		return "", err
 	}
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -45,6 +46,9 @@
 	// AddressReuse is the time after a target's end in which no other pool gets its address, or 0.
 	AddressReuse time.Duration
 
+	// Links holds what is known of this instance's links to targets; it may be nil.
+	Links *Links
+
 	// ObserveResult, if set, is called with the result of each attempt for a pool.
 	ObserveResult func(now time.Time, pool string, r version.Result)
 
@@ -141,6 +145,10 @@
 	successors := map[string]string{}
 	leaving, backoffs := map[string]int64{}, map[string]int64{}
 	limits := map[string]gossip.LimitStatement{}
+	links := gossip.LinkStatement{}
+	if r.Links != nil {
+		links = r.Links.statement(now)
+	}
 	for name, p := range r.allPools() {
 		p.mu.Lock()
 		p.addStatements(now, leaving, backoffs)
@@ -156,11 +164,14 @@
 		maps.Copy(successors, p.successors.ProvenLocally())
 		p.mu.Unlock()
 	}
-	return gossip.Progress{InProgress: inProgress, AttemptCounts: attemptCounts, SilentTargets: silent, ReplacedTargets: replaced, Successors: successors, LeavingTargets: leaving, BackoffMillis: backoffs, Limits: limits}
+	return gossip.Progress{InProgress: inProgress, AttemptCounts: attemptCounts, SilentTargets: silent, ReplacedTargets: replaced, Successors: successors, LeavingTargets: leaving, BackoffMillis: backoffs, Limits: limits, Links: links}
 }
 
 // ApplyRemoteProgress applies what another instance reports about its targets.
 func (r *TargetRegistry) ApplyRemoteProgress(now time.Time, instance string, progress gossip.Progress) {
+	if r.Links != nil {
+		r.Links.applyStatement(now, instance, progress.Links)
+	}
 	for name, p := range r.allPools() {
 		p.mu.Lock()
 		p.retryBudget.SetRemoteCounts(now, instance, progress.AttemptCounts[name])
@@ -182,6 +193,54 @@
 	}
 }
 
+// findTarget returns the target with an ID, if one is known that was not replaced.
+func (r *TargetRegistry) findTarget(id string) (route.Target, bool) {
+	for _, p := range r.allPools() {
+		p.mu.Lock()
+		t := p.findTarget(id)
+		_, replaced := p.replaced[id]
+		p.mu.Unlock()
+		if t.ID != "" && !replaced {
+			return t, true
+		}
+	}
+	return route.Target{}, false
+}
+
+// othersOf returns up to n other open targets of a target's pool, at random.
+func (r *TargetRegistry) othersOf(now time.Time, t route.Target, n int) []route.Target {
+	p := r.pool(t.Pool)
+	if p == nil {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []route.Target
+	for i := range p.targets {
+		if other := &p.targets[i]; other.ID != t.ID && p.isOpen(now, other) {
+			list = append(list, *other)
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(n, len(list))]
+}
+
+// forgetLosses forgets the losses of a target, or of its whole pool, that this instance has recorded since a time.
+func (r *TargetRegistry) forgetLosses(t route.Target, since time.Time, wholePool bool) {
+	p := r.pool(t.Pool)
+	if p == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range p.targets {
+		if id := p.targets[i].ID; wholePool || id == t.ID {
+			p.enginePool.ForgetLosses(id, since)
+		}
+	}
+	p.signalProgress()
+}
+
 func (r *TargetRegistry) allPools() map[string]*pool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
--- a/pkg/engine/health.go
+++ b/pkg/engine/health.go
@@ -45,6 +45,7 @@
 	tokenGapSeconds float64
 	downTime        time.Duration
 	downUntil       time.Time
+	lostAt          time.Time
 	recoveredAt     time.Time
 }
 
@@ -58,7 +59,7 @@
 func (h *health) record(now time.Time, r RequestResult) {
 	if r.Unreachable {
 		h.downTime = min(max(2*h.downTime, minDownTime), maxDownTime)
-		h.downUntil = now.Add(h.downTime)
+		h.downUntil, h.lostAt = now.Add(h.downTime), now
 		h.errorRate += (1 - h.errorRate) / averageWindow
 		return
 	}
--- a/pkg/engine/pool.go
+++ b/pkg/engine/pool.go
@@ -163,6 +163,13 @@
 	}
 }
 
+// ForgetLosses makes a target that was unreachable since a time available again, since the cause was not the target.
+func (p *Pool) ForgetLosses(name string, since time.Time) {
+	if t := p.targets[name]; t != nil && !t.health.lostAt.Before(since) {
+		t.health.downTime, t.health.downUntil, t.health.lostAt = 0, time.Time{}, time.Time{}
+	}
+}
+
 // RecordPrefill records the time to the first token of a prompt of which a share was expected to be
 // cached.
 func (p *Pool) RecordPrefill(took time.Duration, cachedShare float64) {
