Count a refused connection as a crash only if another instance confirms it

Such crashes count against the requests and the parts of their prompts, at all instances: sound requests could be refused for minutes.

Cause: a refused connection was taken for a proof, though it may be this instance's own link that refuses. Class: a report whose source shares the fault. Change: if other instances carry connections, a refusal counts only if one of two of them gets it as well, after data from another target of the pool has shown that its own links are sound; a carrier that connects refutes it. Without other instances nothing changes.

--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -13,7 +13,9 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"bambooferry.example/bambooferry/internal/tunnel"
 	"bambooferry.example/bambooferry/pkg/booking"
+	"bambooferry.example/bambooferry/pkg/route"
 	"bambooferry.example/bambooferry/pkg/timeline"
 )
 
@@ -158,14 +160,18 @@
 	return now.Add(-time.Duration(ms) * time.Millisecond)
 }
 
+// crashCheckTimeout bounds the check of a target that has lost a request: a direct connection, and one through each of
+// the instances that are asked to confirm its failure.
+const crashCheckTimeout = dialTimeout + confirmingCarriers*carriedDialTimeout
+
 // checkForCrash checks whether a target that lost a request has crashed, and counts the crash
 // against the request.
 func (r *Relay) checkForCrash(a *attempt) {
 	lostAt := time.Now()
 	r.startProbe(func() {
-		ctx, cancel := context.WithTimeout(r.probeContext, dialTimeout)
+		ctx, cancel := context.WithTimeout(r.probeContext, crashCheckTimeout)
 		defer cancel()
-		conn, err := r.targetConns.dial(ctx, a.target)
+		conn, err := r.reconnect(ctx, a.target)
 		if err == nil {
 			r.targetConns.put(time.Now(), conn, 0)
 			if len(a.suspectParts(lostAt)) > 0 {
@@ -197,6 +203,56 @@
 	})
 }
 
+// UnconfirmedRefusalError reports that a target refuses connections from this instance, and that no other one has
+// confirmed it: the links of this instance may be cut.
+type UnconfirmedRefusalError struct{ Err error }
+
+func (e *UnconfirmedRefusalError) Error() string { return "not confirmed: " + e.Err.Error() }
+
+// reconnect connects to a target that has lost a request. A refusal counts only if another instance whose links are
+// sound gets it as well, as far as there are others.
+func (r *Relay) reconnect(ctx context.Context, t route.Target) (*conn, error) {
+	if !r.Links.lostSince(t).IsZero() {
+		return r.confirmRefusal(ctx, t, &UnreachableError{})
+	}
+	directCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	c, err := r.targetConns.dialDirect(directCtx, t)
+	switch {
+	case err == nil:
+		return newConn(c, t, r.Links, ""), nil
+	case errors.Is(err, syscall.ECONNREFUSED) && r.Links.mayCarry():
+		return r.confirmRefusal(ctx, t, err)
+	}
+	return nil, err
+}
+
+// confirmRefusal connects to a target through up to two other instances, one after another.
+func (r *Relay) confirmRefusal(ctx context.Context, t route.Target, refusal error) (*conn, error) {
+	var asked []string
+	confirmed := false
+	for range confirmingCarriers {
+		carrier, ok := r.Links.chooseCarrier(time.Now(), t.Pool, asked)
+		if !ok {
+			break
+		}
+		asked = append(asked, carrier.Name)
+		c, err := r.Links.dialCarried(ctx, carrier, t, true)
+		if err == nil {
+			return newConn(c, t, r.Links, carrier.Name), nil
+		}
+		refused := (*tunnel.ResultError)(nil)
+		confirmed = confirmed || errors.As(err, &refused) && refused.Result == tunnel.TargetRefused
+	}
+	if confirmed {
+		return nil, syscall.ECONNREFUSED
+	}
+	return nil, &UnconfirmedRefusalError{Err: refusal}
+}
+
+// confirmingCarriers is the number of instances that are asked to confirm a refusal.
+const confirmingCarriers = 2
+
 // crashReportPauses are the pauses before a crash is reported to the other instances and reported again,
 // since datagrams are lost.
 var crashReportPauses = []time.Duration{0, 300 * time.Millisecond, time.Second}
