Believe reports of lost targets only from instances that reach others

Cause: reports are counted by reporter, and two were enough. Class: many observers that share one fault of their own count as many proofs. Change, on three sides: an instance reports a silent target only once it has heard from another target of the pool since; it believes its own answers from a target more than reports before them; and what it has held against targets (loss, time out of use) is taken back when it turns out that the path to them was lost. An attempt lost on a lost path, or with its carrier, says nothing about its target or its version.

Looked at as well: failingDataCentres (counts the same reports, covered), successors and misdirected answers (need an answer of the address, which a cut instance does not get), limits (the target's own statement), verdicts on versions (losses on lost paths are no longer results).

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -208,6 +208,7 @@
 	}
 	if complete && !a.info.NotRun {
 		a.relay.Crashes.recordServed(a.req)
+		a.req.pool.recordAnswered(now, a.target)
 		if a.res.StatusCode < http.StatusMultipleChoices {
 			a.recordAnswer(now, a.answerBegunAt())
 		}
--- a/internal/relay/losses.go
+++ b/internal/relay/losses.go
@@ -22,10 +22,25 @@
 	local       map[string]time.Time
 	localSilent map[string]time.Time
 	reported    map[string]map[string]time.Time
+	// heard is when this instance last received an answer or output of a target. It believes that more than
+	// reports of losses before it, since those who report may share a fault of their own links.
+	heard map[string]time.Time
 }
 
 func newLossTracker() lossTracker {
-	return lossTracker{local: map[string]time.Time{}, localSilent: map[string]time.Time{}, reported: map[string]map[string]time.Time{}}
+	return lossTracker{local: map[string]time.Time{}, localSilent: map[string]time.Time{}, reported: map[string]map[string]time.Time{}, heard: map[string]time.Time{}}
+}
+
+// recordHeard records that this instance has received an answer or output of a target.
+func (l *lossTracker) recordHeard(now time.Time, id string) { l.heard[id] = now }
+
+// forgetLocal forgets this instance's own losses of a target since a time.
+func (l *lossTracker) forgetLocal(id string, since time.Time) {
+	for _, list := range []map[string]time.Time{l.local, l.localSilent} {
+		if at, ok := list[id]; ok && !at.Before(since) {
+			delete(list, id)
+		}
+	}
 }
 
 // recordLocal records that this instance lost a connection to a target.
@@ -51,11 +66,12 @@
 	}
 }
 
-// recentSilent returns the lost targets to report to other instances.
-func (l *lossTracker) recentSilent(now time.Time) []string {
+// recentSilent returns the lost targets to report to other instances. contactAt is when this instance last received
+// data from any target: one that has heard from none since the loss may itself be cut off.
+func (l *lossTracker) recentSilent(now, contactAt time.Time) []string {
 	var list []string
 	for id, at := range l.localSilent {
-		if now.Sub(at) <= lossReportWindow {
+		if now.Sub(at) <= lossReportWindow && contactAt.After(at) {
 			list = append(list, id)
 		}
 	}
@@ -71,9 +87,14 @@
 			}
 		}
 	}
+	for id, at := range l.heard {
+		if now.Sub(at) > lossWindow {
+			delete(l.heard, id)
+		}
+	}
 	for id, reports := range l.reported {
 		for instance, at := range reports {
-			if now.Sub(at) > lossWindow {
+			if now.Sub(at) > lossWindow || !at.After(l.heard[id]) {
 				delete(reports, instance)
 			}
 		}
@@ -134,7 +155,7 @@
 	}
 	n := 0
 	for _, at := range l.reported[id] {
-		if at.After(since) && now.Sub(at) <= lossWindow {
+		if at.After(since) && at.After(l.heard[id]) && now.Sub(at) <= lossWindow {
 			n++
 		}
 	}
@@ -149,7 +170,7 @@
 	}
 	n := 0
 	for _, at := range l.reported[id] {
-		if now.Sub(at) <= lossWindow {
+		if at.After(l.heard[id]) && now.Sub(at) <= lossWindow {
 			n++
 		}
 	}
--- a/internal/relay/losses_test.go
+++ b/internal/relay/losses_test.go
@@ -57,10 +57,11 @@
 	l := testLossTracker()
 	l.recordLocal(t0, "a1", false)
 	require.False(t, l.silentSince(t0, "a1", t0.Add(-time.Second), firstLetter, 8))
-	require.Empty(t, l.recentSilent(t0))
+	require.Empty(t, l.recentSilent(t0, t0.Add(time.Millisecond)))
 	l.recordLocal(t0, "a1", true)
 	require.True(t, l.silentSince(t0, "a1", t0.Add(-time.Second), firstLetter, 8))
-	require.Equal(t, []string{"a1"}, l.recentSilent(t0))
+	require.Empty(t, l.recentSilent(t0, t0), "an instance that hears from no target may itself be cut off")
+	require.Equal(t, []string{"a1"}, l.recentSilent(t0, t0.Add(time.Millisecond)))
 }
 
 // Guards against retrying a target at whose address another incarnation has responded, and against
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -288,7 +288,7 @@
 	current.eventCount++
 	if current.firstEventAt.IsZero() {
 		current.firstEventAt = now
-		st.req.pool.recordFirstOutput(current.target)
+		st.req.pool.recordFirstOutput(now, current.target)
 	}
 	if current.eventCount >= soundAnswerEvents && now.Sub(current.firstEventAt) >= suspectAnswerTime {
 		current.recordAnswer(now, current.firstEventAt)
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -158,7 +158,11 @@
 		}
 		if p.model != nil {
 			maps.Copy(inProgress, p.enginePool.LocalCounts())
-			silent = append(silent, p.losses.recentSilent(now)...)
+			contactAt := now
+			if r.Links != nil {
+				contactAt = r.Links.contactAt(name)
+			}
+			silent = append(silent, p.losses.recentSilent(now, contactAt)...)
 			replaced = slices.AppendSeq(replaced, maps.Keys(p.replaced))
 		}
 		maps.Copy(successors, p.successors.ProvenLocally())
@@ -235,6 +239,7 @@
 	defer p.mu.Unlock()
 	for i := range p.targets {
 		if id := p.targets[i].ID; wholePool || id == t.ID {
+			p.losses.forgetLocal(id, since)
 			p.enginePool.ForgetLosses(id, since)
 		}
 	}
@@ -409,10 +414,11 @@
 }
 
 // recordFirstOutput records that a request has returned its first output.
-func (p *pool) recordFirstOutput(t route.Target) {
+func (p *pool) recordFirstOutput(now time.Time, t route.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.enginePool.RecordFirstOutput(t.ID)
+	p.losses.recordHeard(now, t.ID)
 	p.notifyProgressChanged()
 }
 
@@ -457,6 +463,13 @@
 	return p.losses.silentSince(now, id, since, p.dataCentreOf, size)
 }
 
+// recordAnswered records that a target has run a request.
+func (p *pool) recordAnswered(now time.Time, t route.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.losses.recordHeard(now, t.ID)
+}
+
 // recordLoad records a load that a target reported.
 func (p *pool) recordLoad(t route.Target, l *engine.Load) {
 	if l == nil {
