--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -249,8 +249,10 @@
 
 // exchange passes the messages of each relay to the others.
 func (f *fleet) exchange() {
-	exchangeProgress(f.t, f.relays)
-	for _, tr := range f.relays {
+	done := make(chan struct{})
+	f.t.Cleanup(func() { close(done) })
+	for i, tr := range f.relays {
+		go f.reportProgress(i, done)
 		tr.relay.Crashes.Broadcast = func(data []byte) bool {
 			for _, other := range f.relays {
 				if other != tr {
@@ -262,6 +264,29 @@
 	}
 }
 
+// reportProgress passes the progress of a relay to the others when it changes, and each second.
+func (f *fleet) reportProgress(index int, done chan struct{}) {
+	targets := f.relays[index].relay.Targets
+	changed := targets.ProgressChanged()
+	repeat := time.NewTicker(time.Second)
+	defer repeat.Stop()
+	for {
+		select {
+		case <-changed:
+		case <-repeat.C:
+		case <-done:
+			return
+		}
+		progress := targets.LocalProgress(time.Now())
+		for i, other := range f.relays {
+			if i != index {
+				other.relay.Targets.ApplyRemoteProgress(time.Now(), strconv.Itoa(index), progress)
+			}
+		}
+		time.Sleep(time.Duration(len(f.relays)) * time.Millisecond)
+	}
+}
+
 // cut cuts the links of a relay to some targets, or heals them if mode is empty.
 func (f *fleet) cut(relay int, mode cutMode, targets []int) {
 	for _, n := range targets {
