Learn the room of brittle engines from single requests that found no queue

Cause: an answer that states running requests and none waiting taught only what ran beside its own request, so that room was found one place late; and a single request beyond the room taught nothing if the answer stated a load. Change: it teaches one place, up to the target's slots, as without a stated load.

--- a/internal/relay/refusallimit.go
+++ b/internal/relay/refusallimit.go
@@ -132,10 +132,9 @@
 		return p.refusalLimits.RecordRefusal(now, a.target, float64(load.Running+load.Waiting))
 	case a.info.NotRun:
 		return p.refusalLimits.RecordRefusal(now, a.target, a.load)
-	case load != nil && load.Waiting == 0:
-		return p.refusalLimits.RecordRunning(now, a.target, load.Running)
-	case load != nil:
+	case load != nil && load.Waiting > 0:
 		return false
 	}
-	return p.refusalLimits.RecordAccepted(now, a.target, a.load)
+	learnt := load != nil && p.refusalLimits.RecordRunning(now, a.target, load.Running)
+	return p.refusalLimits.RecordAccepted(now, a.target, a.load) || learnt
 }
