Refuse requests at once while no target of their pool can be reached

What callers saw: while no instance reached the targets, each request tried three of them, for 300 ms each, and was refused after 0.9 s, well within the time in which its caller could have asked again.

Cause: nothing is kept of connections that failed over all paths; each request learns it anew. Change: after three different targets in a row (or all of a smaller pool) within 2 s a pool counts as unreachable until a connection succeeds. Requests are refused with targets_unreachable and 100 to 300 ms to come back; one in 200 ms tries again.

TestUnreachablePoolRefuses has the decision.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -81,8 +81,12 @@
 	}
 	c, err := connect(ctx, a.target)
 	if err != nil {
+		if ctx.Err() == nil {
+			a.req.pool.recordUnreachable(time.Now(), a.target)
+		}
 		return err
 	}
+	a.req.pool.recordReached()
 	if a.relay.Crashes.isMarked(time.Now(), a.req) {
 		a.relay.targetConns.put(time.Now(), c, 0)
 		return &MarkedError{}
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -159,7 +159,7 @@
 			c.unreachable++
 			reason = "target_unreachable"
 		}
-		if now := time.Now(); c.refusals+c.unreachable < maxRefusals && now.Before(c.req.deadline) && !c.relay.Crashes.isMarked(now, c.req) && c.startAttempt(ctx, reason) {
+		if now := time.Now(); c.refusals+c.unreachable < maxRefusals && !(c.unreachable > 0 && c.req.pool.isUnreachable(now)) && now.Before(c.req.deadline) && !c.relay.Crashes.isMarked(now, c.req) && c.startAttempt(ctx, reason) {
 			return false
 		}
 	} else {
--- a/internal/relay/cut_test.go
+++ b/internal/relay/cut_test.go
@@ -96,3 +96,49 @@
 		})
 	}
 }
+
+// Guards against requests that wait for connections which no instance can make, and against refusals that outlast the
+// cut.
+func TestRequestsAreRefusedAtOnceWhileNoInstanceReachesTargets(t *testing.T) {
+	for _, mode := range []cutMode{cutSilent, cutReset} {
+		t.Run(string(mode), func(t *testing.T) {
+			t.Parallel()
+			all := []int{0, 1, 2, 3, 4, 5}
+			engine := &fleetEngine{}
+			f := startFleet(t, 2, engine.stubs(t, len(all)))
+			cutAt := time.Now().Add(500 * time.Millisecond)
+			time.AfterFunc(500*time.Millisecond, func() {
+				f.cut(0, mode, all)
+				f.cut(1, mode, all)
+			})
+			time.AfterFunc(4*time.Second, func() {
+				f.cut(0, "", all)
+				f.cut(1, "", all)
+			})
+			list := f.runTraffic(40*time.Millisecond, 7*time.Second)
+			engine.requireSafe(t, list)
+			soon, late, served, sent := 0, 0, 0, 0
+			for i := range list {
+				r := &list[i]
+				switch since := r.sentAt.Sub(cutAt); {
+				case since > 1500*time.Millisecond && since < 3*time.Second && !r.served():
+					require.Equal(t, 503, r.status, r.id)
+					require.Contains(t, r.body, codeTargetsUnreachable)
+					if r.took < 50*time.Millisecond {
+						soon++
+					} else {
+						late++
+					}
+				case since > 4500*time.Millisecond:
+					sent++
+					if r.served() {
+						served++
+					}
+				}
+			}
+			t.Logf("%d refused at once, %d later; %d of %d served after the cut", soon, late, served, sent)
+			require.Less(t, late, soon/2, "only a few requests try again")
+			require.GreaterOrEqual(t, float64(served), minOtherShare*float64(sent))
+		})
+	}
+}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -75,6 +75,10 @@
 		r.refuse(w, req, refusal)
 		return
 	}
+	if req.pool.isUnreachable(now) {
+		r.refuse(w, req, notRunRefusal(codeTargetsUnreachable, jitter(route.ReachInterval)))
+		return
+	}
 	ctx, cancel := r.contextOf(req)
 	defer cancel()
 	r.instruments.requestStarted(req)
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -89,6 +89,8 @@
 	limits route.RateLimits
 	// refusalLimits holds which targets bear few refusals, and their room.
 	refusalLimits route.RefusalLimits
+	// reachability holds whether any target can be reached.
+	reachability    route.Reachability
 	// arrivals measures the requests that this instance gets for the pool.
 	arrivals rateMeter
 	isUser   func(target string, users int) bool
@@ -503,6 +505,27 @@
 	p.enginePool.SetLoad(t.ID, *l)
 }
 
+// recordUnreachable records that no connection to a target could be made over any path.
+func (p *pool) recordUnreachable(now time.Time, t route.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reachability.RecordFailed(now, t.ID)
+}
+
+// recordReached records that a target was connected.
+func (p *pool) recordReached() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reachability.RecordReached()
+}
+
+// isUnreachable reports whether a request is to be refused at once, since no target can be reached.
+func (p *pool) isUnreachable(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reachability.Refuses(now, len(p.targets))
+}
+
 // recordRequest counts a request, which adds to the retry budget.
 func (p *pool) recordRequest(now time.Time) {
 	p.mu.Lock()
--- /dev/null
+++ b/pkg/route/reachability.go
@@ -0,0 +1,49 @@
+package route
+
+import "time"
+
+const (
+	// unreachableTargets is the number of targets that must have failed one after another, with none reached in between,
+	// until a pool counts as unreachable; of a smaller pool, all must have.
+	unreachableTargets = 3
+	// unreachableWindow is how long these failures count together.
+	unreachableWindow = 2 * time.Second
+	// ReachInterval is the time between two requests that try an unreachable pool again.
+	ReachInterval = 200 * time.Millisecond
+)
+
+// Reachability tracks whether any target of a pool can be reached over any path. Its zero value is ready for use; its
+// owner guards it.
+type Reachability struct {
+	failedAt map[string]time.Time
+	triedAt  time.Time
+}
+
+// RecordFailed records that no connection to a target could be made.
+func (r *Reachability) RecordFailed(now time.Time, id string) {
+	if r.failedAt == nil {
+		r.failedAt = map[string]time.Time{}
+	}
+	r.failedAt[id] = now
+}
+
+// RecordReached records that a target was reached.
+func (r *Reachability) RecordReached() { clear(r.failedAt) }
+
+// Refuses reports whether a request is to be refused at once, since no target of a pool of some size can be reached. It
+// lets one request pass in each ReachInterval.
+func (r *Reachability) Refuses(now time.Time, size int) bool {
+	for id, at := range r.failedAt {
+		if now.Sub(at) > unreachableWindow {
+			delete(r.failedAt, id)
+		}
+	}
+	if size == 0 || len(r.failedAt) < min(unreachableTargets, size) {
+		return false
+	}
+	if now.Sub(r.triedAt) >= ReachInterval {
+		r.triedAt = now
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/route/reachability_test.go
@@ -0,0 +1,35 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against requests that wait for targets of which none can be reached, and against refusing what one may serve.
+func TestUnreachablePoolRefuses(t *testing.T) {
+	r, now := &Reachability{}, time.UnixMilli(1_700_000_000_000)
+	require.False(t, r.Refuses(now, 4))
+	for _, id := range []string{"a", "a", "b"} {
+		r.RecordFailed(now, id)
+	}
+	require.False(t, r.Refuses(now, 4), "other targets may be reached")
+	r.RecordFailed(now, "c")
+	require.False(t, r.Refuses(now, 4), "one request tries again")
+	passed := 0
+	for ms := range 1000 {
+		if !r.Refuses(now.Add(time.Duration(ms)*time.Millisecond), 4) {
+			passed++
+		}
+	}
+	require.Equal(t, int(time.Second/ReachInterval)-1, passed)
+	r.RecordReached()
+	require.False(t, r.Refuses(now.Add(time.Second), 4))
+	require.False(t, r.Refuses(now.Add(time.Second), 4))
+	r.RecordFailed(now, "a")
+	require.False(t, r.Refuses(now.Add(time.Millisecond), 0))
+	require.False(t, r.Refuses(now.Add(2*time.Second), 1))
+	require.True(t, r.Refuses(now.Add(2*time.Second), 1))
+	require.False(t, r.Refuses(now.Add(5*time.Second), 1), "the failures are old")
+}
