--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -194,6 +194,8 @@
 	stubs []*engineStub
 	// carriers are the relays as carriers.
 	carriers []link.Carrier
+	// stopTunnels ends what each relay carries for others.
+	stopTunnels []func()
 }
 
 func startFleet(t *testing.T, relays int, stubs []*engineStub) *fleet {
@@ -235,10 +237,17 @@
 		defer close(done)
 		_ = server.Run(ctx)
 	}()
-	f.t.Cleanup(func() {
+	f.stopTunnels = append(f.stopTunnels, func() {
 		stop()
 		<-done
 	})
+	f.t.Cleanup(f.stopTunnels[index])
+}
+
+// stopCarrying ends the connections that a relay carries at once, and makes it carry no more.
+func (f *fleet) stopCarrying(relay int) {
+	f.relays[relay].relay.Links.BeginStop()
+	f.stopTunnels[relay]()
 }
 
 // carriersFor returns the other relays as carriers.
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -90,7 +90,7 @@
 	// refusalLimits holds which targets bear few refusals, and their room.
 	refusalLimits route.RefusalLimits
 	// reachability holds whether any target can be reached.
-	reachability    route.Reachability
+	reachability route.Reachability
 	// arrivals measures the requests that this instance gets for the pool.
 	arrivals rateMeter
 	isUser   func(target string, users int) bool
