Give connections to targets time for several keep-alive probes

What callers may see: a stream that waits for its first event is cut after two seconds without data when a single probe is lost, or when a sound engine falls silent for a second or so.

Cause: TCP_USER_TIMEOUT, set to 1.5 s for sent data, also decides when keep-alive probes give up, whatever their count: with probes after 1 and 2 s a connection ends at the second one, though two unanswered ones are meant. Class: an option with a second meaning. Change: 3 s, for connections to targets and tunnels; these are all places that set it. The store's, callers' and peers' connections set none, and Go sets none by itself.

TestLongPauseBeforeALongBody, whose pause follows the time, stays red.

--- a/internal/relay/connpool.go
+++ b/internal/relay/connpool.go
@@ -14,8 +14,9 @@
 	// machine is reachable, and the time between probes; it is the shortest that the kernel
 	// accepts. Two are sent, since links lose packets.
 	keepAliveInterval = time.Second
-	// unackedTimeout bounds the time that sent data may stay unacknowledged.
-	unackedTimeout = 1500 * time.Millisecond
+	// unackedTimeout bounds the time that sent data may stay unacknowledged. It also decides when the kernel gives up a
+	// connection whose probes stay unanswered, whatever their number.
+	unackedTimeout = 3 * time.Second
 	// defaultIdleTime is how long a connection is kept if its target does not say how long it keeps
 	// it.
 	defaultIdleTime = 4 * time.Second
--- a/internal/tunnel/protocol.go
+++ b/internal/tunnel/protocol.go
@@ -18,9 +18,9 @@
 	lostFrame  = 0xffff
 	headerSize = 2
 	// keepAliveInterval is the time without data after which the kernel probes a connection, and the time between
-	// two probes. unackedTimeout bounds the time that sent data may stay unacknowledged.
+	// two probes. unackedTimeout bounds the time that sent data, and probes, may stay unacknowledged.
 	keepAliveInterval = time.Second
-	unackedTimeout    = 1500 * time.Millisecond
+	unackedTimeout    = 3 * time.Second
 	// tcpUserTimeout is the number of the TCP_USER_TIMEOUT option on Linux; package syscall does not define it.
 	tcpUserTimeout = 18
 )
