Confirm refusals of crashed engines also with little traffic

Cause: an instance that was asked whether a target refuses connections waited 100 ms for data from another target of the pool as a proof of its own links. With little traffic none comes, so that crashes stay uncertain and do not count: a request that crashes engines would reach more of them than it may.

Change: it connects to another target of the pool instead, unless data came meanwhile; in a pool without another target nothing speaks against the refusal. An error without a cause has a text of its own (its text would have ended the process, had anything asked for it).

--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -9,21 +9,18 @@
 	"github.com/cockroachdb/errors"
 
 	"bambooferry.example/bambooferry/internal/tunnel"
+	"bambooferry.example/bambooferry/pkg/route"
 )
 
 const (
 	// carriedDialTimeout bounds the connection to a target for another instance, which needs the time to ask a further
 	// one within dialTimeout.
 	carriedDialTimeout = 120 * time.Millisecond
-	// soundLinkWait bounds the wait for data that shows that the own links are sound.
-	soundLinkWait = 100 * time.Millisecond
-	// soundLinkInterval is the time between two looks for such data.
-	soundLinkInterval = 10 * time.Millisecond
 )
 
 // ConnectForOther connects to a target directly for another instance. It reports a target that does not respond as
-// unreachable only if data from its pool shows that the own links are sound; if confirm is set, the same holds for one
-// that refuses connections.
+// unreachable only if data from its pool shows that the own links are sound. If confirm is set, it reports one that refuses
+// connections only if another target of the pool is reached.
 func (r *Relay) ConnectForOther(ctx context.Context, id string, confirm bool) (net.Conn, error) {
 	r.init()
 	t, ok := r.Targets.findTarget(id)
@@ -42,7 +39,7 @@
 	}
 	sound := r.Links.contactAt(t.Pool).After(startedAt)
 	if refused := errors.Is(err, syscall.ECONNREFUSED); refused && confirm {
-		sound = r.awaitContact(ctx, t.Pool, time.Now())
+		sound = r.linksAreSound(ctx, t, time.Now())
 	} else if refused {
 		sound = true
 	}
@@ -52,13 +49,19 @@
 	return nil, err
 }
 
-// awaitContact waits until data came from a pool over a direct connection after a time, and reports whether it did.
-func (r *Relay) awaitContact(ctx context.Context, pool string, since time.Time) bool {
-	deadline := since.Add(soundLinkWait)
-	for !r.Links.contactAt(pool).After(since) {
-		if time.Now().After(deadline) || !sleepFor(ctx, soundLinkInterval) {
-			return false
-		}
+// linksAreSound reports whether another target of a target's pool is reached directly after a time; if there is no other
+// one, nothing speaks against it.
+func (r *Relay) linksAreSound(ctx context.Context, t route.Target, since time.Time) bool {
+	others := r.Targets.othersOf(since, t, 1)
+	if len(others) == 0 || r.Links.contactAt(t.Pool).After(since) {
+		return true
 	}
+	ctx, cancel := context.WithTimeout(ctx, carriedDialTimeout)
+	defer cancel()
+	c, err := r.targetConns.dialDirect(ctx, others[0])
+	if err != nil {
+		return false
+	}
+	r.targetConns.put(time.Now(), newConn(c, others[0], r.Links, ""), 0)
 	return true
 }
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -160,9 +160,9 @@
 	return now.Add(-time.Duration(ms) * time.Millisecond)
 }
 
-// crashCheckTimeout bounds the check of a target that has lost a request: a direct connection, and one through each of
-// the instances that are asked to confirm its failure.
-const crashCheckTimeout = dialTimeout + confirmingCarriers*carriedDialTimeout
+// crashCheckTimeout bounds the check of a target that has lost a request: a direct connection, and two of each instance
+// that is asked to confirm its failure.
+const crashCheckTimeout = dialTimeout + 2*confirmingCarriers*carriedDialTimeout
 
 // checkForCrash checks whether a target that lost a request has crashed, and counts the crash
 // against the request.
@@ -209,11 +209,16 @@
 
 func (e *UnconfirmedRefusalError) Error() string { return "not confirmed: " + e.Err.Error() }
 
+// PathLostError reports that the direct path to a target is lost.
+type PathLostError struct{ Target string }
+
+func (e *PathLostError) Error() string { return "direct path to " + e.Target + " is lost" }
+
 // reconnect connects to a target that has lost a request. A refusal counts only if another instance whose links are
 // sound gets it as well, as far as there are others.
 func (r *Relay) reconnect(ctx context.Context, t route.Target) (*conn, error) {
 	if !r.Links.lostSince(t).IsZero() {
-		return r.confirmRefusal(ctx, t, &UnreachableError{})
+		return r.confirmRefusal(ctx, t, &PathLostError{Target: t.ID})
 	}
 	directCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
--- a/internal/relay/dial.go
+++ b/internal/relay/dial.go
@@ -33,10 +33,10 @@
 }
 
 func (e *UnreachableError) Error() string {
-	if e.Direct != nil {
-		return "target unreachable: " + e.Direct.Error()
+	if err := e.Unwrap(); err != nil {
+		return "target unreachable: " + err.Error()
 	}
-	return "target unreachable: " + e.Carried.Error()
+	return "target unreachable"
 }
 
 // Unwrap returns the error of the direct connection, or that of the last carrier.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -103,7 +103,9 @@
 	readinessServer := &http.Server{Handler: http.HandlerFunc(r.serveReadiness), ReadHeaderTimeout: headerTimeout}
 	group, running := errgroup.WithContext(context.WithoutCancel(ctx))
 	background, stopBackground := context.WithCancel(running)
+	r.probesMu.Lock()
 	r.probeContext = background
+	r.probesMu.Unlock()
 	defer r.stopProbes(stopBackground)
 	defer r.interruptRequests(nil)
 	group.Go(func() error { return r.callers.Serve(r.CallerListener) })
@@ -122,11 +124,11 @@
 	return group.Wait()
 }
 
-// startProbe runs probe in the background unless the relay has stopped.
+// startProbe runs probe in the background while the relay runs.
 func (r *Relay) startProbe(probe func()) {
 	r.probesMu.Lock()
 	defer r.probesMu.Unlock()
-	if r.probeContext.Err() == nil {
+	if r.probeContext != nil && r.probeContext.Err() == nil {
 		r.probes.Go(probe)
 	}
 }
--- a/pkg/link/paths.go
+++ b/pkg/link/paths.go
@@ -10,8 +10,7 @@
 	// directPatience is the time after which a direct connection is raced by one through a carrier: several round
 	// trips within a region, and the target's own delay.
 	directPatience = 50 * time.Millisecond
-	// VerdictTime is the time after which a direct connection that is not established counts as failed, if a
-	// carrier has reached the target meanwhile.
+	// VerdictTime is the time after which a direct connection that is not established counts as failed.
 	VerdictTime = 150 * time.Millisecond
 	// evidenceWindow is how long a carrier's success counts, and how long the losses of several paths count together.
 	evidenceWindow = 2 * time.Second
