Keep reports of brittle engines small, and let only refusals lower a room

A report of each brittle engine that an instance has heard of would make its progress messages longer than a datagram, and such a message is not sent at all: the others would lose sight of what the instance has in progress, which their decisions rest on. And an instance that had missed the reports and found the room anew, one place at a time, would have lowered it at all others.

Change: a report has the four rooms that were learnt last, within 3 s; statements themselves need no report, since all targets of a pool inherit the first one. A message that is too long omits rooms before requests in progress. A report lowers a room only if it was learnt from a refusal. Tests: TestRoomIsSharedBetweenInstances, whose new lines fail before.

--- a/internal/gossip/progress.go
+++ b/internal/gossip/progress.go
@@ -85,6 +85,8 @@
 	// Room is the number of requests for which the target has room, which was learnt RoomAgeMillis ago.
 	Room          int   `json:"room"`
 	RoomAgeMillis int64 `json:"room_age_ms"`
+	// Lowered is set if the room was learnt from a refusal.
+	Lowered bool `json:"lowered,omitempty"`
 }
 
 type progressMessage struct {
@@ -136,7 +138,8 @@
 }
 
 // broadcast sends a message; if it is too long, it first omits the backoffs, the silent and replaced targets
-// and the successors, and then the requests in progress: leaving and limited targets must reach the others.
+// and the successors, then the rooms of brittle targets, and then the requests in progress: leaving and limited targets
+// must reach the others.
 func (x *ProgressExchange) broadcast(m *progressMessage) error {
 	for {
 		data, err := json.Marshal(m)
@@ -148,7 +151,7 @@
 			return nil
 		case len(m.SilentTargets)+len(m.ReplacedTargets)+len(m.Successors)+len(m.BackoffMillis) > 0:
 			m.SilentTargets, m.ReplacedTargets, m.Successors, m.BackoffMillis = nil, nil, nil, nil
-		case len(m.RefusalLimits) > 0 && len(m.LeavingTargets)+len(m.Limits) > 0:
+		case len(m.RefusalLimits) > 0:
 			m.RefusalLimits = nil
 		case len(m.LeavingTargets)+len(m.Limits) > 0 && len(m.InProgress) > 0:
 			m.InProgress = nil
--- a/internal/relay/refusallimit.go
+++ b/internal/relay/refusallimit.go
@@ -73,7 +73,7 @@
 	for id, s := range p.refusalLimits.Recent(now) {
 		list[id] = gossip.RefusalLimitStatement{
 			PerSecond: s.PerSecond, Ended: !s.Brittle, AgeMillis: now.Sub(s.HeardAt).Milliseconds(), StartedMillis: startedMillis(p.findTarget(id)),
-			Room: s.Room, RoomAgeMillis: now.Sub(s.RoomAt).Milliseconds(),
+			Room: s.Room, RoomAgeMillis: now.Sub(s.RoomAt).Milliseconds(), Lowered: s.Lowered,
 		}
 	}
 }
@@ -89,7 +89,7 @@
 			continue
 		}
 		p.refusalLimits.Record(t, route.RefusalStatement{
-			PerSecond: s.PerSecond, Brittle: !s.Ended, HeardAt: millisBefore(now, s.AgeMillis), Room: s.Room, RoomAt: millisBefore(now, s.RoomAgeMillis),
+			PerSecond: s.PerSecond, Brittle: !s.Ended, HeardAt: millisBefore(now, s.AgeMillis), Room: s.Room, RoomAt: millisBefore(now, s.RoomAgeMillis), Lowered: s.Lowered,
 		}, false)
 	}
 }
--- a/pkg/route/refusallimit.go
+++ b/pkg/route/refusallimit.go
@@ -1,6 +1,10 @@
 package route
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// probeShare is the share of the refusals that a target bears which are spent on finding more room.
@@ -24,9 +28,11 @@
 	Brittle   bool
 	// HeardAt is when the answer was received.
 	HeardAt time.Time
-	// Room is the number of requests for which the target is known to have room, and RoomAt when that was learnt.
-	Room   int
-	RoomAt time.Time
+	// Room is the number of requests for which the target is known to have room, and RoomAt when that was learnt. Lowered
+	// is set if it was learnt from a refusal: otherwise the target may have more room.
+	Room    int
+	RoomAt  time.Time
+	Lowered bool
 }
 
 // RefusalLimits bounds the refusals of brittle targets, which fall over when they have to refuse too many requests.
@@ -78,19 +84,20 @@
 	next := &targetRoom{RefusalStatement: s, startedAt: t.StartedAt, local: local, stated: true, probesAt: s.HeardAt}
 	next.Room = max(s.Room, 1)
 	if known && old.Brittle && s.Brittle {
-		next.Room, next.RoomAt, next.probes, next.probesAt = old.Room, old.RoomAt, old.probes, old.probesAt
+		next.Room, next.RoomAt, next.Lowered, next.local = old.Room, old.RoomAt, old.Lowered, old.local || local
+		next.probes, next.probesAt = old.probes, old.probesAt
 		l.adoptRoom(next, s)
 	}
 	l.targets[t.ID] = next
 	return !known && s.Brittle || known && (old.Brittle != s.Brittle || old.PerSecond != s.PerSecond || old.Room != next.Room)
 }
 
-// adoptRoom takes over what was learnt later about a target's room.
+// adoptRoom takes over what another instance has learnt later about a target's room: more of it, or less by a refusal.
 func (l *RefusalLimits) adoptRoom(r *targetRoom, s RefusalStatement) bool {
-	if !r.Brittle || s.Room < 1 || !s.RoomAt.After(r.RoomAt) || s.Room == r.Room {
+	if !r.Brittle || s.Room < 1 || !s.RoomAt.After(r.RoomAt) || s.Room == r.Room || s.Room < r.Room && !s.Lowered {
 		return false
 	}
-	r.Room, r.RoomAt, r.local = s.Room, s.RoomAt, false
+	r.Room, r.RoomAt, r.Lowered, r.local = s.Room, s.RoomAt, s.Lowered, false
 	return true
 }
 
@@ -181,7 +188,7 @@
 	if r == nil {
 		return false
 	}
-	return r.setRoom(now, min(r.Room, int(load)))
+	return r.setRoom(now, min(r.Room, int(load)), true)
 }
 
 // RecordRunning records that a target has stated a number of running requests and that none waits, and reports whether
@@ -191,7 +198,7 @@
 	if r == nil {
 		return false
 	}
-	return r.setRoom(now, max(r.Room, running))
+	return r.setRoom(now, max(r.Room, running), false)
 }
 
 // RecordAccepted records that a target has accepted a request when it had a load, and reports whether more room is known
@@ -201,32 +208,40 @@
 	if r == nil || load < float64(r.Room) || t.Slots > 0 && r.Room >= t.Slots {
 		return false
 	}
-	return r.setRoom(now, r.Room+1)
+	return r.setRoom(now, r.Room+1, false)
 }
 
-func (r *targetRoom) setRoom(now time.Time, room int) bool {
+func (r *targetRoom) setRoom(now time.Time, room int, lowered bool) bool {
 	room = max(room, 1)
 	if room == r.Room {
 		return false
 	}
-	r.Room, r.RoomAt, r.local = room, now, true
+	r.Room, r.RoomAt, r.Lowered, r.local = room, now, lowered, true
 	return true
 }
 
-// Recent returns what this instance has been told or has learnt a short time ago, by target.
+// Recent returns what this instance has learnt of a target's room, or been told for the first time, a short time ago. Of
+// many targets, it returns those of which it has learnt last.
 func (l *RefusalLimits) Recent(now time.Time) map[string]RefusalStatement {
-	var out map[string]RefusalStatement
+	var ids []string
 	for id, r := range l.targets {
-		if r.local && (now.Sub(r.HeardAt) < limitReportWindow || now.Sub(r.RoomAt) < limitReportWindow) {
-			if out == nil {
-				out = map[string]RefusalStatement{}
-			}
-			out[id] = r.RefusalStatement
+		if r.local && now.Sub(r.RoomAt) < limitReportWindow {
+			ids = append(ids, id)
 		}
 	}
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(l.targets[b].RoomAt.Compare(l.targets[a].RoomAt), cmp.Compare(a, b))
+	})
+	out := map[string]RefusalStatement{}
+	for _, id := range ids[:min(len(ids), maxReportedRooms)] {
+		out[id] = l.targets[id].RefusalStatement
+	}
 	return out
 }
 
+// maxReportedRooms bounds the targets in one report, which shares a datagram with other reports.
+const maxReportedRooms = 4
+
 // Retain drops what is known of targets that are not listed, and of those that are no longer brittle.
 func (l *RefusalLimits) Retain(now time.Time, listed []Target) {
 	ids := make(map[string]bool, len(listed))
--- a/pkg/route/refusallimit_test.go
+++ b/pkg/route/refusallimit_test.go
@@ -74,9 +74,18 @@
 	}
 	require.Zero(t, there.Wait(now, target, 6, 0, myTurn))
 	require.Empty(t, there.Recent(now), "what others have learnt is not reported again")
+	less := brittleAt(now, 4)
+	less.Room, less.RoomAt = 2, now.Add(2*time.Millisecond)
+	there.Record(target, less, false)
+	require.Zero(t, there.Wait(now, target, 6, 0, myTurn), "what one instance has found so far does not lower what another one knows")
 	here.RecordRefusal(now.Add(2*time.Millisecond), target, 5)
 	there.Record(target, here.Recent(now)["a"], false)
 	require.Positive(t, there.Wait(now, target, 6, 0, myTurn))
+	for _, id := range []string{"b", "c", "d", "e", "f"} {
+		here.Record(Target{ID: id}, RefusalStatement{PerSecond: 4, Brittle: true, HeardAt: now, RoomAt: now}, true)
+	}
+	require.Len(t, here.Recent(now), maxReportedRooms)
+	require.Contains(t, here.Recent(now), "a", "the room that was learnt last")
 	old := brittleAt(now, 4)
 	old.Room, old.RoomAt = 20, now.Add(-time.Second)
 	there.Record(target, old, false)
