Let a tunnel that is being opened outlive the beginning of a stop

What callers may see: a request that an instance has just sent through another one ends unknown (502) when that one is told to stop: a tunnel whose request came before the stop was answered with connected and then reset.

Cause: one flag says that no further tunnels are opened and that all are closed. Change: two; a drain waits for tunnels that are being opened as well. The time since a tunnel carried bytes is taken from the steady clock (a step of the wall clock could have ended it), and a connection accepted at the end is closed. Found by reading.

--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -49,16 +49,26 @@
 	mu      sync.Mutex
 	tunnels map[*carried]bool
 	// opening is the number of requests that are being served.
-	opening  int
+	opening int
+	// stopping is set once no further request is served, and closed once all tunnels are closed.
 	stopping bool
+	closed   bool
 	group    sync.WaitGroup
 }
 
 // carried is one tunnel.
 type carried struct {
 	caller, target net.Conn
-	// usedAt is when bytes were last carried, in Unix nanoseconds.
-	usedAt atomic.Int64
+	openedAt       time.Time
+	// usedAfter is the time from openedAt to when bytes were last carried.
+	usedAfter atomic.Int64
+}
+
+func (t *carried) recordUse(now time.Time) { t.usedAfter.Store(int64(now.Sub(t.openedAt))) }
+
+// idle returns the time since bytes were last carried.
+func (t *carried) idle(now time.Time) time.Duration {
+	return now.Sub(t.openedAt) - time.Duration(t.usedAfter.Load())
 }
 
 func (t *carried) closeNow() {
@@ -74,6 +84,9 @@
 	for {
 		c, err := s.Listener.Accept()
 		if ctx.Err() != nil {
+			if err == nil {
+				_ = c.Close()
+			}
 			s.closeAll()
 			return ctx.Err()
 		}
@@ -103,11 +116,18 @@
 	return len(s.tunnels)
 }
 
+// busy reports whether a tunnel is open or being opened.
+func (s *Server) busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.tunnels)+s.opening > 0
+}
+
 // Drain waits until no tunnel is open or ctx ends.
 func (s *Server) Drain(ctx context.Context) {
 	tick := time.NewTicker(drainInterval)
 	defer tick.Stop()
-	for s.Open() > 0 {
+	for s.busy() {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
@@ -122,7 +142,7 @@
 func (s *Server) closeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopping = true
+	s.stopping, s.closed = true, true
 	for t := range s.tunnels {
 		t.closeNow()
 	}
@@ -136,7 +156,7 @@
 		case now := <-tick.C:
 			s.mu.Lock()
 			for t := range s.tunnels {
-				if now.Sub(time.Unix(0, t.usedAt.Load())) > idleTimeout {
+				if t.idle(now) > idleTimeout {
 					t.closeNow()
 				}
 			}
@@ -193,12 +213,13 @@
 	return Full
 }
 
-// endOpening registers an open tunnel, unless all have been closed meanwhile.
+// endOpening registers an open tunnel, unless all have been closed meanwhile. One whose request came before a stop stays
+// open.
 func (s *Server) endOpening(t *carried) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.opening--
-	if t == nil || s.stopping {
+	if t == nil || s.closed {
 		return false
 	}
 	if s.tunnels == nil {
@@ -241,8 +262,7 @@
 	}
 	t := (*carried)(nil)
 	if target != nil {
-		t = &carried{caller: caller, target: target}
-		t.usedAt.Store(time.Now().UnixNano())
+		t = &carried{caller: caller, target: target, openedAt: time.Now()}
 	}
 	if _, err := caller.Write([]byte{byte(result)}); err != nil {
 		return t, err
@@ -271,7 +291,7 @@
 	for {
 		n, err := t.caller.Read(buf)
 		if n > 0 {
-			t.usedAt.Store(time.Now().UnixNano())
+			t.recordUse(time.Now())
 			if _, writeErr := t.target.Write(buf[:n]); writeErr != nil {
 				// The target's answer may have arrived before; carryToCaller ends the tunnel.
 				_, _ = io.Copy(io.Discard, t.caller)
@@ -300,7 +320,7 @@
 	for {
 		n, err := t.target.Read(buf[headerSize:])
 		if n > 0 {
-			t.usedAt.Store(time.Now().UnixNano())
+			t.recordUse(time.Now())
 			binary.BigEndian.PutUint16(buf, uint16(n))
 			if _, writeErr := t.caller.Write(buf[:headerSize+n]); writeErr != nil {
 				t.closeNow()
