--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -316,7 +316,7 @@
 	reasonUnreachable = "unreachable"
 	// reasonCarrierLost is the reason for an attempt whose connection was lost with the instance that carried it.
 	reasonCarrierLost = "carrier_lost"
-	// reasonPathLost is the reason for an attempt that has heard nothing since the direct path to its target was lost.
+	// reasonPathLost is the reason for an attempt that has received nothing since the direct path to its target was lost.
 	reasonPathLost = "path_lost"
 	// reasonLostByOthers is the reason for an attempt whose target other instances have lost.
 	reasonLostByOthers = "lost_by_others"
--- a/internal/relay/links.go
+++ b/internal/relay/links.go
@@ -118,7 +118,7 @@
 	}
 }
 
-// recordFailed records that a direct connection to a target, begun at a time, could not be established, and reports
+// recordFailed records that a direct connection to a target, started at a time, could not be established, and reports
 // the paths that are lost by it.
 func (l *Links) recordFailed(now, begunAt time.Time, t route.Target) {
 	l.lock()
--- a/internal/relay/losses.go
+++ b/internal/relay/losses.go
@@ -34,7 +34,7 @@
 // recordHeard records that this instance has received an answer or output of a target.
 func (l *lossTracker) recordHeard(now time.Time, id string) { l.heard[id] = now }
 
-// forgetLocal forgets this instance's own losses of a target since a time.
+// forgetLocal removes this instance's own losses of a target since a time.
 func (l *lossTracker) forgetLocal(id string, since time.Time) {
 	for _, list := range []map[string]time.Time{l.local, l.localSilent} {
 		if at, ok := list[id]; ok && !at.Before(since) {
@@ -67,7 +67,7 @@
 }
 
 // recentSilent returns the lost targets to report to other instances. contactAt is when this instance last received
-// data from any target: one that has heard from none since the loss may itself be cut off.
+// data from any target: one that has received none since the loss may itself be cut off.
 func (l *lossTracker) recentSilent(now, contactAt time.Time) []string {
 	var list []string
 	for id, at := range l.localSilent {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -198,8 +198,8 @@
 	return st.nextCheck(now), true
 }
 
-// heardNothingSincePathLost reports whether the direct path to the attempt's target is lost and the attempt has heard
-// nothing since. It has the path checked if that is not known.
+// heardNothingSincePathLost reports whether the direct path to the attempt's target is lost and the attempt has
+// received nothing since. It has the path checked if that is not known.
 func (st *streamHandler) heardNothingSincePathLost(now time.Time, current *attempt) bool {
 	if current.conn == nil || current.conn.carrier != "" {
 		return false
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -1,14 +1,11 @@
 package relay
 
 import (
-	"maps"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
-	"bambooferry.example/bambooferry/internal/gossip"
 	"bambooferry.example/bambooferry/pkg/booking"
 	"bambooferry.example/bambooferry/pkg/engine"
 	"bambooferry.example/bambooferry/pkg/engine/policy"
@@ -150,117 +147,6 @@
 	return r.progressChanged
 }
 
-// LocalProgress returns what this instance reports to others about its targets.
-func (r *TargetRegistry) LocalProgress(now time.Time) gossip.Progress {
-	inProgress := map[string]engine.RequestCounts{}
-	attemptCounts := map[string]booking.SendCounts{}
-	var silent, replaced []string
-	successors := map[string]string{}
-	leaving, backoffs := map[string]int64{}, map[string]int64{}
-	limits, refusalLimits := map[string]gossip.LimitStatement{}, map[string]gossip.RefusalLimitStatement{}
-	links := gossip.LinkStatement{}
-	if r.Links != nil {
-		links = r.Links.statement(now)
-	}
-	for name, p := range r.allPools() {
-		p.mu.Lock()
-		p.addStatements(now, leaving, backoffs)
-		p.addLimits(now, limits)
-		if counts := p.retryBudget.LocalCounts(now); counts != (booking.SendCounts{}) {
-			attemptCounts[name] = counts
-		}
-		p.addRefusalLimits(now, refusalLimits)
-		if p.sharesProgress() {
-			maps.Copy(inProgress, p.enginePool.LocalCounts())
-			contactAt := now
-			if r.Links != nil {
-				contactAt = r.Links.contactAt(name)
-			}
-			silent = append(silent, p.losses.recentSilent(now, contactAt)...)
-			replaced = slices.AppendSeq(replaced, maps.Keys(p.replaced))
-		}
-		maps.Copy(successors, p.successors.ProvenLocally())
-		p.mu.Unlock()
-	}
-	return gossip.Progress{InProgress: inProgress, AttemptCounts: attemptCounts, SilentTargets: silent, ReplacedTargets: replaced, Successors: successors, LeavingTargets: leaving, BackoffMillis: backoffs, Limits: limits, RefusalLimits: refusalLimits, Links: links}
-}
-
-// ApplyRemoteProgress applies what another instance reports about its targets.
-func (r *TargetRegistry) ApplyRemoteProgress(now time.Time, instance string, progress gossip.Progress) {
-	if r.Links != nil {
-		r.Links.applyStatement(now, instance, progress.Links)
-	}
-	for name, p := range r.allPools() {
-		p.mu.Lock()
-		p.retryBudget.SetRemoteCounts(now, instance, progress.AttemptCounts[name])
-		p.applyRefusalLimits(now, progress.RefusalLimits)
-		if p.sharesProgress() {
-			p.enginePool.SetRemoteCounts(now, instance, progress.InProgress)
-			p.losses.recordReport(now, instance, progress.SilentTargets)
-			for _, id := range progress.ReplacedTargets {
-				p.exclude(id)
-			}
-		}
-		for former, id := range progress.Successors {
-			if t := p.findTarget(former); t.ID != "" {
-				p.addSuccessor(now, t, id, false)
-			}
-		}
-		p.applyStatements(now, progress)
-		p.applyLimits(now, progress.Limits)
-		p.mu.Unlock()
-	}
-}
-
-// findTarget returns the target with an ID, if one is known that was not replaced.
-func (r *TargetRegistry) findTarget(id string) (route.Target, bool) {
-	for _, p := range r.allPools() {
-		p.mu.Lock()
-		t := p.findTarget(id)
-		_, replaced := p.replaced[id]
-		p.mu.Unlock()
-		if t.ID != "" && !replaced {
-			return t, true
-		}
-	}
-	return route.Target{}, false
-}
-
-// othersOf returns up to n other open targets of a target's pool, at random.
-func (r *TargetRegistry) othersOf(now time.Time, t route.Target, n int) []route.Target {
-	p := r.pool(t.Pool)
-	if p == nil {
-		return nil
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var list []route.Target
-	for i := range p.targets {
-		if other := &p.targets[i]; other.ID != t.ID && p.isOpen(now, other) {
-			list = append(list, *other)
-		}
-	}
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list[:min(n, len(list))]
-}
-
-// forgetLosses forgets the losses of a target, or of its whole pool, that this instance has recorded since a time.
-func (r *TargetRegistry) forgetLosses(t route.Target, since time.Time, wholePool bool) {
-	p := r.pool(t.Pool)
-	if p == nil {
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for i := range p.targets {
-		if id := p.targets[i].ID; wholePool || id == t.ID {
-			p.losses.forgetLocal(id, since)
-			p.enginePool.ForgetLosses(id, since)
-		}
-	}
-	p.signalProgress()
-}
-
 func (r *TargetRegistry) allPools() map[string]*pool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -443,24 +329,6 @@
 	p.notifyProgressChanged()
 }
 
-// notifyProgressChanged wakes the exchange with other instances; the caller holds mu.
-func (p *pool) notifyProgressChanged() {
-	if p.sharesProgress() {
-		p.signalProgress()
-	}
-}
-
-// sharesProgress reports whether the instances exchange what they have in progress at the pool's targets: engines, and
-// targets that bear few refusals; the caller holds mu.
-func (p *pool) sharesProgress() bool { return p.model != nil || p.refusalLimits.Any() }
-
-func (p *pool) signalProgress() {
-	select {
-	case p.progressChanged <- struct{}{}:
-	default:
-	}
-}
-
 // recordEnded records the result of a request at a target; silent means that it was lost without
 // any data or reset.
 func (p *pool) recordEnded(now time.Time, t route.Target, result engine.RequestResult, silent bool, took time.Duration) {
@@ -505,27 +373,6 @@
 	p.enginePool.SetLoad(t.ID, *l)
 }
 
-// recordUnreachable records that no connection to a target could be made over any path.
-func (p *pool) recordUnreachable(now time.Time, t route.Target) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.reachability.RecordFailed(now, t.ID)
-}
-
-// recordReached records that a target was connected.
-func (p *pool) recordReached() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.reachability.RecordReached()
-}
-
-// isUnreachable reports whether a request is to be refused at once, since no target can be reached.
-func (p *pool) isUnreachable(now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.reachability.Refuses(now, len(p.targets))
-}
-
 // recordRequest counts a request, which adds to the retry budget.
 func (p *pool) recordRequest(now time.Time) {
 	p.mu.Lock()
--- a/pkg/link/carriers.go
+++ b/pkg/link/carriers.go
@@ -121,7 +121,7 @@
 	return best, found
 }
 
-// rank returns 0 for an instance that reaches the pool now, 1 for one that has lately, 2 for one of which that is not
+// rank returns 0 for an instance that reaches the pool now, 1 for one that did recently, 2 for one of which that is not
 // known and 3 for one that has failed; it returns false for one that is not to be chosen.
 func (c *Carriers) rank(now time.Time, name, pool string) (int, bool) {
 	st := c.states[name]
--- a/pkg/link/model_test.go
+++ b/pkg/link/model_test.go
@@ -280,8 +280,7 @@
 		loss           float64
 		refuses        bool
 		down           float64
-		// minShare is the least share served at cut instances, of the others' share; the bound of 0.95 holds
-		// wherever the targets that are up can be told from the others.
+		// minShare is the least share served at cut instances, of the others' share; it is the stated target.
 		minShare float64
 	}{
 		{"8_one", 8, 1, 0.02, false, 0, 0.95},
--- a/pkg/link/paths.go
+++ b/pkg/link/paths.go
@@ -142,7 +142,7 @@
 	return regained
 }
 
-// RecordFailed records that a direct connection to a target, begun at a time, could not be established, and reports
+// RecordFailed records that a direct connection to a target, started at a time, could not be established, and reports
 // whether its path is lost from now on.
 func (p *Paths) RecordFailed(now, begunAt time.Time, poolName, target string) (lost bool) {
 	g, t := p.path(now, poolName, target)
--- a/pkg/route/refusallimit.go
+++ b/pkg/route/refusallimit.go
@@ -58,7 +58,7 @@
 	probesAt time.Time
 }
 
-// Turn returns the number of the present turn and whether it has begun long enough ago to be used.
+// Turn returns the number of the present turn and whether it is past its gap.
 func Turn(now time.Time) (number int64, open bool) {
 	ms := now.UnixMilli()
 	return ms / turnTime.Milliseconds(), ms%turnTime.Milliseconds() >= turnGap.Milliseconds()
