Say what instances wait for when a test's deployment does not become ready

The error now lists what each instance knows and which slots it waits for.

Six of these tests beside each other (120 instances with the race detector on 5 cores) fail the same way in 3 of 6, all of them awaiting slots that others release. Ruled out: that the slots are never released. With 90 s in place of 20 s (a trial) all six became ready, after 13.1 to 20.2 s; one alone takes 1.5 s.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -374,10 +375,24 @@
 	for _, in := range d.Instances {
 		for !in.Ready() || in.Slots != nil && !in.Slots.NoReleasesPending() {
 			if time.Now().After(deadline) {
-				return errors.Newf("%s is not ready", in.ID)
+				return errors.Newf("%s is not ready %v after the start: %s", in.ID, readyTimeout, d.readiness())
 			}
 			time.Sleep(time.Millisecond)
 		}
 	}
 	return nil
 }
+
+// readiness describes, for each instance, what it knows and which slots it waits for.
+func (d *Deployment) readiness() string {
+	var all strings.Builder
+	for _, in := range d.Instances {
+		view, _ := server.Members.Get(in.Board)
+		_, hasCatalogue := server.Catalogue.Get(in.Board)
+		fmt.Fprintf(&all, "\n%s: ready %v, catalogue %v, %d live members", in.ID, in.Ready(), hasCatalogue, len(view.Live()))
+		if in.Slots != nil {
+			fmt.Fprintf(&all, ", slots ready %v, slots %+v", in.Slots.Ready(), in.Slots.Counts())
+		}
+	}
+	return all.String()
+}
