Keep the ports of cut links and of test processes

Callers saw nothing: two tests lost their ports to other programs.

Cause: a port that is not bound is given to any program that asks for one. Change: internal/standin/port keeps a bound socket that does not listen; the system refuses connections to it and gives the port to no other, while a listener with SO_REUSEADDR can use it.

--- a/internal/command/process_test.go
+++ b/internal/command/process_test.go
@@ -12,7 +12,6 @@
 	"encoding/pem"
 	"fmt"
 	"math/big"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -28,6 +27,7 @@
 
 	"bambooferry.example/bambooferry/internal/server"
 	"bambooferry.example/bambooferry/internal/standin/platform"
+	"bambooferry.example/bambooferry/internal/standin/port"
 	"bambooferry.example/bambooferry/pkg/instance"
 )
 
@@ -79,11 +79,12 @@
 	return server.MemberStatus{}
 }
 
+// freeAddress returns an address whose port no other program gets during the test.
 func freeAddress(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	address, release, err := port.Reserve()
 	require.NoError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
+	t.Cleanup(func() { require.NoError(t, release()) })
+	return address.String()
 }
 
 func writePeerKeys(t *testing.T, dir string) []string {
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bambooferry.example/bambooferry/internal/standin/port"
 	"bambooferry.example/bambooferry/internal/tunnel"
 	"bambooferry.example/bambooferry/pkg/link"
 )
@@ -49,11 +50,15 @@
 
 func startTargetLink(t *testing.T, target netip.AddrPort) *targetLink {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	// While the link is cut, another program must not get its port.
+	address, release, err := port.Reserve()
 	require.NoError(t, err)
-	l := &targetLink{t: t, target: target, address: ln.Addr().(*net.TCPAddr).AddrPort(), ln: ln, conns: map[net.Conn]bool{}}
+	ln, err := net.Listen("tcp", address.String())
+	require.NoError(t, err)
+	l := &targetLink{t: t, target: target, address: address, ln: ln, conns: map[net.Conn]bool{}}
 	go l.accept(ln)
 	t.Cleanup(func() {
+		defer func() { require.NoError(t, release()) }()
 		l.set("")
 		l.mu.Lock()
 		defer l.mu.Unlock()
