Check the path of a silent call until its deadline

What callers saw: at brittle engines, in the first second and more of a cut, calls at cut instances hung until their deadline, and the engines stood idle.

Cause: a silent call had its path checked once, after 100 ms. If the pool had been checked within the last 500 ms, or any call was answered after this one was sent and before the cut, that check was left out and none followed. Instances that send no further calls, since all places of brittle engines are counted as taken, never made another connection either. Class: evidence that is gathered once, at a time that the fault does not depend on. Streams shared the second half: data from the pool since the silence began kept them from checking.

Change: a silent call has its path checked again until its deadline, at growing intervals, and what counts is how long the pool as a whole has been quiet.

Ruled out: a check that finds the path sound although it is lost.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -253,16 +253,24 @@
 	return result
 }
 
-// silentCallTime is the time without a response after which the path to a call's target is checked.
-const silentCallTime = 100 * time.Millisecond
+const (
+	// silentCallTime is the time without a response after which the path to a call's target is checked.
+	silentCallTime = 100 * time.Millisecond
+	// silentCallFraction is the part of a call's age after which its path is checked again, as a divisor.
+	silentCallFraction = 4
+)
 
-// checkSilentPath has the path to a silent target checked; the call waits until its deadline.
+// checkSilentPath has the path to a silent target checked from time to time; the call waits until its deadline.
 func (a *attempt) checkSilentPath(now time.Time) (time.Time, bool) {
 	if a.pastDeadline(now) {
 		return time.Time{}, false
 	}
-	a.relay.checkSilentTarget(now, a.target, a.startedAt, a.conn)
-	return a.req.deadline, true
+	a.relay.checkSilentTarget(now, a.target, silentCallTime, a.conn)
+	next := now.Add(max(lossCheckInterval, now.Sub(a.startedAt)/silentCallFraction))
+	if next.After(a.req.deadline) {
+		next = a.req.deadline
+	}
+	return next, true
 }
 
 func (a *attempt) pastDeadline(now time.Time) bool { return !now.Before(a.req.deadline) }
--- a/internal/relay/path_check.go
+++ b/internal/relay/path_check.go
@@ -12,10 +12,10 @@
 // the loss of all paths to the pool is known early.
 const otherPathChecks = 3
 
-// checkSilentTarget has the path to a silent target checked, unless data came from its pool since the silence began.
-// That shows whether it is a silence of the own links.
-func (r *Relay) checkSilentTarget(now time.Time, t route.Target, silentSince time.Time, c *conn) {
-	if c != nil && c.carrier == "" && !r.Links.contactAt(t.Pool).After(silentSince) && r.Links.takeCheck(now, t.Pool, link.TargetSilent) {
+// checkSilentTarget has the path to a silent target checked, unless data came from its pool within some time. That shows
+// whether it is a silence of the own links.
+func (r *Relay) checkSilentTarget(now time.Time, t route.Target, quiet time.Duration, c *conn) {
+	if c != nil && c.carrier == "" && now.Sub(r.Links.contactAt(t.Pool)) >= quiet && r.Links.takeCheck(now, t.Pool, link.TargetSilent) {
 		r.checkPaths(now, t, []route.Target{t}, link.TargetSilent)
 	}
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -209,7 +209,7 @@
 		return !silentSince.After(lostAt)
 	}
 	if patience := silentStreamTime(current); now.Sub(silentSince) >= patience {
-		st.relay.checkSilentTarget(now, current.target, silentSince, current.conn)
+		st.relay.checkSilentTarget(now, current.target, patience, current.conn)
 	}
 	return false
 }
