Do not count calls that hang on a lost path as running at their targets

What callers saw: in a cut of half of the instances, callers of brittle engines were refused for want of room while the engines stood idle.

Cause: a call on a lost path counts as running until its caller's deadline, and all instances add such calls up. Class: a count that only the lost path itself can correct.

Change: once the direct path is known to be lost, a call on which nothing was heard since no longer counts when it is twice as old as the pool's calls take on average; its result is recorded at its end as before. What counts as heard is now the last data on the connection, not the time at which the request was sent: a call that is sent while the loss is being found out hangs as well. The same rule lets streams of that time change engines early.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -50,6 +50,8 @@
 	load float64
 	// wentSilent is set when the target was lost without any data or reset from it.
 	wentSilent bool
+	// hangs is set when the attempt no longer counts at the target, since the path is lost on which it waits.
+	hangs bool
 	// silenceLogged is set when the silence of the target has been logged.
 	silenceLogged bool
 	// sent is set when bytes of the request may have reached the target.
@@ -202,7 +204,7 @@
 		result = engine.RequestResult{Cancelled: true}
 		a.wentSilent = false
 	}
-	a.req.pool.recordEnded(now, a.target, result, a.wentSilent, took)
+	a.req.pool.recordEnded(now, a.target, !a.hangs, result, a.wentSilent, took)
 	a.observeResult(now, result)
 	// Only data after the target's own response proves that the target was alive: another target
 	// may be at its address by now, and a reused connection may have carried another target's
@@ -231,6 +233,16 @@
 	})
 }
 
+// heardNothingSincePathLost reports whether the attempt waits on a direct connection on which nothing was heard since
+// the path was lost.
+func (a *attempt) heardNothingSincePathLost() bool {
+	if a.conn == nil || a.conn.carrier != "" {
+		return false
+	}
+	lostAt := a.relay.Links.lostSince(a.target)
+	return !lostAt.IsZero() && !a.conn.heardAt.After(lostAt)
+}
+
 // pathLost reports whether the attempt was lost on its way, which says nothing about its target.
 func (a *attempt) pathLost() bool {
 	if a.conn != nil && a.conn.carrier != "" {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -266,6 +266,9 @@
 		return time.Time{}, false
 	}
 	a.relay.checkSilentTarget(now, a.target, silentCallTime, a.conn)
+	if !a.hangs && a.heardNothingSincePathLost() {
+		a.hangs = a.req.pool.recordHanging(now, a.target, a.startedAt)
+	}
 	next := now.Add(max(lossCheckInterval, now.Sub(a.startedAt)/silentCallFraction))
 	if next.After(a.req.deadline) {
 		next = a.req.deadline
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -65,14 +65,16 @@
 	idleUntil time.Time
 	// dataReceived is set when the target has sent data since the request was sent. lastHeardAt is the
 	// earliest time at which the last data read can have arrived: the time of the previous read, or of
-	// sending the request. lastReadAt is the time of the last read.
+	// sending the request. lastReadAt is the time of the last read, or of sending the request.
 	dataReceived bool
 	lastHeardAt  time.Time
 	lastReadAt   time.Time
+	// heardAt is when the target was last heard on the connection, also by an earlier request or when it was made.
+	heardAt time.Time
 }
 
 func newConn(c net.Conn, t route.Target, links *Links, carrier string) *conn {
-	out := &conn{Conn: c, address: t.Address, pool: t.Pool, links: links, carrier: carrier, contact: links.contactOf(t.Pool)}
+	out := &conn{Conn: c, address: t.Address, pool: t.Pool, links: links, carrier: carrier, contact: links.contactOf(t.Pool), heardAt: time.Now()}
 	out.headerLimit = io.LimitedReader{R: silenceReader{out}, N: math.MaxInt64}
 	out.reader = bufio.NewReaderSize(&out.headerLimit, readBufferSize)
 	return out
@@ -118,7 +120,7 @@
 		if c.carrier == "" {
 			c.links.recordContact(now, c.contact)
 		}
-		c.dataReceived, c.lastHeardAt, c.lastReadAt = true, c.lastReadAt, now
+		c.dataReceived, c.lastHeardAt, c.lastReadAt, c.heardAt = true, c.lastReadAt, now, now
 	}
 }
 
--- a/internal/relay/path_check.go
+++ b/internal/relay/path_check.go
@@ -15,7 +15,7 @@
 // checkSilentTarget has the path to a silent target checked, unless data came from its pool within some time. That shows
 // whether it is a silence of the own links.
 func (r *Relay) checkSilentTarget(now time.Time, t route.Target, quiet time.Duration, c *conn) {
-	if c != nil && c.carrier == "" && now.Sub(r.Links.contactAt(t.Pool)) >= quiet && r.Links.takeCheck(now, t.Pool, link.TargetSilent) {
+	if c != nil && c.carrier == "" && now.Sub(r.Links.contactAt(t.Pool)) >= quiet && r.Links.lostSince(t).IsZero() && r.Links.takeCheck(now, t.Pool, link.TargetSilent) {
 		r.checkPaths(now, t, []route.Target{t}, link.TargetSilent)
 	}
 }
--- a/internal/relay/path_check_test.go
+++ b/internal/relay/path_check_test.go
@@ -47,3 +47,44 @@
 		})
 	}
 }
+
+// Guards against calls that hang on a lost path and still count as running at their target, so that nobody uses its places.
+func TestHangingCallDoesNotCountOnceItsPathIsLost(t *testing.T) {
+	stub := startStub(t, "e0", func(c net.Conn, r *http.Request, _ string) bool {
+		if r.URL.Path == "/book/long" {
+			time.Sleep(3 * time.Second)
+		}
+		time.Sleep(50 * time.Millisecond)
+		return writeResponse(c, r, 200, "answer", "Seal: s")
+	})
+	f := startFleet(t, 2, []*engineStub{stub})
+	call := func(id, patience string) chan callerResponse {
+		response := make(chan callerResponse, 1)
+		go func() { response <- f.relays[0].request("POST", "/book/"+id, "x", "Id", id, "Patience", patience) }()
+		return response
+	}
+	// These leave a connection for each call that hangs.
+	for _, response := range []chan callerResponse{call("sound-1", "2s"), call("sound-2", "2s")} {
+		require.Equal(t, http.StatusOK, (<-response).status)
+	}
+	f.cut(0, cutSilent, []int{0})
+	hanging := []chan callerResponse{call("hanging-1", "2s")}
+	time.Sleep(2 * silentCallTime)
+	// This one is sent while the first one's check goes on.
+	hanging = append(hanging, call("hanging-2", "2s"))
+	p := f.relays[0].relay.Targets.pool("p")
+	load := func() float64 {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.enginePool.CountedLoad(time.Now(), "e0")
+	}
+	require.Eventually(t, func() bool { return load() == 2 }, time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return load() == 0 }, time.Second, 5*time.Millisecond)
+	long := call("long", "5s")
+	for _, response := range hanging {
+		require.NotEqual(t, http.StatusOK, (<-response).status)
+	}
+	require.EqualValues(t, 1, load(), "the long call still counts at the end of the hanging ones")
+	require.Equal(t, http.StatusOK, (<-long).status)
+	require.Zero(t, load())
+}
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -309,7 +309,7 @@
 	for name, disturb := range map[string]func(tr *testRelay){
 		"lost here": func(tr *testRelay) {
 			p := tr.relay.Targets.pool("p")
-			p.recordEnded(time.Now(), route.Target{ID: "e2"}, engine.RequestResult{Unreachable: true}, true, 0)
+			p.recordEnded(time.Now(), route.Target{ID: "e2"}, true, engine.RequestResult{Unreachable: true}, true, 0)
 		},
 		"lost by others": func(tr *testRelay) {
 			for _, instance := range []string{"i2", "i3"} {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -198,17 +198,13 @@
 	return st.nextCheck(now), true
 }
 
-// heardNothingSincePathLost reports whether the direct path to the attempt's target is lost and the attempt has
-// received nothing since. It has the path checked if that is not known.
+// heardNothingSincePathLost reports whether an attempt waits on a direct connection on which nothing was heard since the
+// path was lost. It has the path checked if that is not known.
 func (st *streamHandler) heardNothingSincePathLost(now time.Time, current *attempt) bool {
-	if current.conn == nil || current.conn.carrier != "" {
-		return false
+	if current.heardNothingSincePathLost() {
+		return true
 	}
-	silentSince := current.conn.lastReadAt
-	if lostAt := st.relay.Links.lostSince(current.target); !lostAt.IsZero() {
-		return !silentSince.After(lostAt)
-	}
-	if patience := silentStreamTime(current); now.Sub(silentSince) >= patience {
+	if patience := silentStreamTime(current); current.conn != nil && now.Sub(current.conn.lastReadAt) >= patience {
 		st.relay.checkSilentTarget(now, current.target, patience, current.conn)
 	}
 	return false
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -329,12 +329,29 @@
 	p.notifyProgressChanged()
 }
 
-// recordEnded records the result of a request at a target; silent means that it was lost without
-// any data or reset.
-func (p *pool) recordEnded(now time.Time, t route.Target, result engine.RequestResult, silent bool, took time.Duration) {
+// recordHanging records that nothing can be heard of a call which began at a time, and reports whether it no longer
+// counts at its target: most calls of the pool take less than half as long.
+func (p *pool) recordHanging(now time.Time, t route.Target, startedAt time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.enginePool.RecordEnd(now, t.ID, result, took)
+	usual := p.enginePool.ServiceTime()
+	if usual == 0 || now.Sub(startedAt) < 2*usual {
+		return false
+	}
+	p.enginePool.RecordLeft(now, t.ID)
+	p.notifyProgressChanged()
+	return true
+}
+
+// recordEnded records the result of a request at a target, which counts there until now if counted is set; silent means
+// that it was lost without any data or reset.
+func (p *pool) recordEnded(now time.Time, t route.Target, counted bool, result engine.RequestResult, silent bool, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if counted {
+		p.enginePool.RecordLeft(now, t.ID)
+	}
+	p.enginePool.RecordResult(now, t.ID, result, took)
 	p.notifyProgressChanged()
 	if result.Unreachable {
 		p.losses.recordLocal(now, t.ID, silent)
--- a/pkg/engine/pool.go
+++ b/pkg/engine/pool.go
@@ -118,6 +118,11 @@
 	return time.Duration(excess / float64(slots) * p.serviceSeconds * float64(time.Second))
 }
 
+// ServiceTime returns the time that a request takes on average, or 0 if none has ended.
+func (p *Pool) ServiceTime() time.Duration {
+	return time.Duration(p.serviceSeconds * float64(time.Second))
+}
+
 // CountedLoad returns the number of requests at a target by what the instances have sent and not yet ended. What the
 // target itself has reported is used only if no other instance is known: the ends of others' requests are missing
 // in it.
@@ -161,14 +166,24 @@
 
 // RecordEnd records the end of a request that the instance sent, and its result.
 func (p *Pool) RecordEnd(now time.Time, name string, r RequestResult, took time.Duration) {
+	p.RecordLeft(now, name)
+	p.RecordResult(now, name, r, took)
+}
+
+// RecordLeft records that a request which the instance sent no longer runs at its target, as far as is known.
+func (p *Pool) RecordLeft(now time.Time, name string) {
 	t := p.target(name)
 	t.running = max(t.running-1, 0)
 	t.pending = min(t.pending, t.running)
 	t.endedAt = appendTimestamp(t.endedAt, now)
+}
+
+// RecordResult records the result of a request of which RecordLeft was called before.
+func (p *Pool) RecordResult(now time.Time, name string, r RequestResult, took time.Duration) {
 	if r.Cancelled {
 		return
 	}
-	t.health.record(now, r)
+	p.target(name).health.record(now, r)
 	if !r.Unreachable && !r.Failed && took > 0 {
 		p.serviceSeconds = movingAverage(p.serviceSeconds, took.Seconds())
 	}
