--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -21,6 +21,9 @@
 // connection.
 const maxStaleResponses = 3
 
+// ruleNoRequestID is the rule of a ResponseError for a response that does not state which request it belongs to.
+const ruleNoRequestID = "no_request_id"
+
 // maxTimerDelay is the delay of a timer above which the process itself is late.
 const maxTimerDelay = 100 * time.Millisecond
 
@@ -106,6 +109,10 @@
 	res, err := c.roundTrip(targetReq)
 	for stale := 0; err == nil; stale++ {
 		a.info = a.relay.Codec.ParseResponse(time.Now(), res)
+		if a.info.RequestID == "" && a.req.ID != "" && c.reused {
+			// It may be a late copy of the response to an earlier request.
+			return &ResponseError{Rule: ruleNoRequestID}
+		}
 		if a.info.RequestID == "" || a.info.RequestID == a.req.ID {
 			a.res = res
 			a.req.pool.recordLoad(a.target, a.info.Load)
@@ -159,7 +166,7 @@
 func (a *attempt) checkResponse() error {
 	switch {
 	case a.info.RequestID == "" && a.res.StatusCode < http.StatusMultipleChoices:
-		return &ResponseError{Rule: "no_request_id"}
+		return &ResponseError{Rule: ruleNoRequestID}
 	case a.info.ContentEncoded:
 		return &ResponseError{Rule: "content_encoding"}
 	case !a.info.Sealed && a.res.StatusCode < http.StatusMultipleChoices:
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"bambooferry.example/bambooferry/pkg/generation"
 )
 
 // Guards against requests and responses that are modified on their way.
@@ -205,3 +207,21 @@
 	require.Equal(t, http.StatusOK, readinessStatus(t, tr))
 	require.Equal(t, http.StatusServiceUnavailable, tr.request("POST", "/book/1", "").status, "without targets no request runs")
 }
+
+// Guards against a late copy without an id of an earlier refusal, by which a call that runs is sent to a second target or
+// its caller is told that it did not run.
+func TestResponseWithoutIDOnReusedConnectionIsNotTheCalls(t *testing.T) {
+	var runs atomic.Int32
+	e := startStub(t, "e1", func(c net.Conn, r *http.Request, _ string) bool {
+		if r.Header.Get("Id") == "r-/book/2" && runs.Add(1) == 1 {
+			fmt.Fprint(c, "HTTP/1.1 503 S\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		}
+		return writeResponse(c, r, 200, "answer", "Seal: s")
+	})
+	tr := startRelay(t, e)
+	require.Equal(t, "answer", tr.request("POST", "/book/1", "").body)
+	got := tr.request("POST", "/book/2", "")
+	require.EqualValues(t, 1, runs.Load())
+	require.Equal(t, http.StatusBadGateway, got.status, got.body)
+	require.Contains(t, got.body, string(generation.Unknown))
+}
