--- a/internal/command/stop_conns_test.go
+++ b/internal/command/stop_conns_test.go
@@ -222,9 +222,11 @@
 			if !c.fresh {
 				conns = openKept(t, address, 100, true)
 			}
+			termAt := time.Now()
 			p.signalProcess(t, syscall.SIGTERM)
 			time.Sleep(200 * time.Millisecond)
 			p.signalProcess(t, syscall.SIGSTOP)
+			t.Logf("frozen %v after the stop was requested", time.Since(termAt))
 			time.Sleep(50 * time.Millisecond)
 			if c.fresh {
 				conns = openKept(t, address, 100, false)
