--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -49,7 +49,7 @@
 	// cancelClose cancels the closing of conn at the end of the attempt's context.
 	cancelClose func() bool
 	startedAt   time.Time
-	// load is the target's load when it was chosen, without this request.
+	// load is the target's load at the time of the choice, without this request.
 	load float64
 	// wentSilent is set when the target was lost without any data or reset from it.
 	wentSilent bool
@@ -240,14 +240,14 @@
 	})
 }
 
-// heardNothingSincePathLost reports whether the attempt waits on a direct connection on which nothing was heard since
-// the path was lost.
-func (a *attempt) heardNothingSincePathLost() bool {
+// silentSincePathLost reports whether the attempt waits on a direct connection that has received no data since its path
+// was lost.
+func (a *attempt) silentSincePathLost() bool {
 	if a.conn == nil || a.conn.carrier != "" {
 		return false
 	}
 	lostAt := a.relay.Links.lostSince(a.target)
-	return !lostAt.IsZero() && !a.conn.heardAt.After(lostAt)
+	return !lostAt.IsZero() && !a.conn.receivedAt.After(lostAt)
 }
 
 // pathLost reports whether the attempt was lost on its way, which says nothing about its target.
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -266,7 +266,7 @@
 		return time.Time{}, false
 	}
 	a.relay.checkSilentTarget(now, a.target, silentCallTime, a.conn)
-	if !a.hangs && a.heardNothingSincePathLost() {
+	if !a.hangs && a.silentSincePathLost() {
 		a.hangs = a.req.pool.recordHanging(now, a.target, a.startedAt)
 	}
 	next := now.Add(max(lossCheckInterval, now.Sub(a.startedAt)/silentCallFraction))
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -69,12 +69,12 @@
 	dataReceived bool
 	lastHeardAt  time.Time
 	lastReadAt   time.Time
-	// heardAt is when the target was last heard on the connection, also by an earlier request or when it was made.
-	heardAt time.Time
+	// receivedAt is when data was last received for any of the connection's requests, or when it was established.
+	receivedAt time.Time
 }
 
 func newConn(c net.Conn, t route.Target, links *Links, carrier string) *conn {
-	out := &conn{Conn: c, address: t.Address, pool: t.Pool, links: links, carrier: carrier, contact: links.contactOf(t.Pool), heardAt: time.Now()}
+	out := &conn{Conn: c, address: t.Address, pool: t.Pool, links: links, carrier: carrier, contact: links.contactOf(t.Pool), receivedAt: time.Now()}
 	out.headerLimit = io.LimitedReader{R: silenceReader{out}, N: math.MaxInt64}
 	out.reader = bufio.NewReaderSize(&out.headerLimit, readBufferSize)
 	return out
@@ -120,7 +120,7 @@
 		if c.carrier == "" {
 			c.links.recordContact(now, c.contact)
 		}
-		c.dataReceived, c.lastHeardAt, c.lastReadAt, c.heardAt = true, c.lastReadAt, now, now
+		c.dataReceived, c.lastHeardAt, c.lastReadAt, c.receivedAt = true, c.lastReadAt, now, now
 	}
 }
 
--- a/internal/relay/losses.go
+++ b/internal/relay/losses.go
@@ -22,8 +22,8 @@
 	local       map[string]time.Time
 	localSilent map[string]time.Time
 	reported    map[string]map[string]time.Time
-	// heard is when this instance last received an answer or output of a target. It believes that more than
-	// reports of losses before it, since those who report may share a fault of their own links.
+	// heard holds when this instance last received an answer or output of a target, which outweighs earlier reports of
+	// losses: the instances that report them may share a fault of their own links.
 	heard map[string]time.Time
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -208,8 +208,8 @@
 	require.Equal(t, http.StatusServiceUnavailable, tr.request("POST", "/book/1", "").status, "without targets no request runs")
 }
 
-// Guards against a late copy without an id of an earlier refusal, by which a call that runs is sent to a second target or
-// its caller is told that it did not run.
+// Guards against a late refusal without an id that belongs to an earlier request, after which a call that runs is sent
+// again or reported as not run.
 func TestResponseWithoutIDOnReusedConnectionIsNotTheCalls(t *testing.T) {
 	var runs atomic.Int32
 	e := startStub(t, "e1", func(c net.Conn, r *http.Request, _ string) bool {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -186,7 +186,7 @@
 		return time.Time{}, false
 	}
 	ev := generation.Event{Kind: generation.Ticked}
-	if st.heardNothingSincePathLost(now, current) {
+	if st.silentSincePathLost(now, current) {
 		ev = generation.Event{Kind: generation.Suspected, Attempt: current.number, Target: current.target.ID, Reason: reasonPathLost}
 	} else if current.firstEventAt.IsZero() && st.req.pool.lostSince(now, current.target.ID, current.startedAt) {
 		ev = generation.Event{Kind: generation.Suspected, Attempt: current.number, Target: current.target.ID, Reason: reasonLostByOthers}
@@ -198,10 +198,10 @@
 	return st.nextCheck(now), true
 }
 
-// heardNothingSincePathLost reports whether an attempt waits on a direct connection on which nothing was heard since the
-// path was lost. It has the path checked if that is not known.
-func (st *streamHandler) heardNothingSincePathLost(now time.Time, current *attempt) bool {
-	if current.heardNothingSincePathLost() {
+// silentSincePathLost reports whether an attempt waits on a direct connection that has received no data since its path
+// was lost. It has a path checked that is not known to be lost.
+func (st *streamHandler) silentSincePathLost(now time.Time, current *attempt) bool {
+	if current.silentSincePathLost() {
 		return true
 	}
 	if patience := silentStreamTime(current); current.conn != nil && now.Sub(current.conn.lastReadAt) >= patience {
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -329,8 +329,8 @@
 	p.notifyProgressChanged()
 }
 
-// recordHanging records that nothing can be heard of a call which began at a time, and reports whether it no longer
-// counts at its target: most calls of the pool take less than half as long.
+// recordHanging records that the path is lost on which a call waits since a time, and reports whether the call no longer
+// counts at its target: it must be twice as old as the pool's calls take on average.
 func (p *pool) recordHanging(now time.Time, t route.Target, startedAt time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/route/refusallimit.go
+++ b/pkg/route/refusallimit.go
@@ -220,7 +220,7 @@
 	return true
 }
 
-// Recent returns what this instance has learnt of a target's room, or been told for the first time, a short time ago. Of
+// Recent returns what this instance has learnt of a target's room, or received for the first time, a short time ago. Of
 // many targets, it returns those of which it has learnt last.
 func (l *RefusalLimits) Recent(now time.Time) map[string]RefusalStatement {
 	var ids []string
