Log when a hanging call no longer counts at its target

Callers saw nothing; an operator could not see from the log why a target got more requests than its instances had open there.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -11,6 +11,7 @@
 	"bambooferry.example/bambooferry/pkg/engine"
 	"bambooferry.example/bambooferry/pkg/generation"
 	"bambooferry.example/bambooferry/pkg/route"
+	"bambooferry.example/bambooferry/pkg/timeline"
 )
 
 const (
@@ -266,8 +267,12 @@
 		return time.Time{}, false
 	}
 	a.relay.checkSilentTarget(now, a.target, silentCallTime, a.conn)
-	if !a.hangs && a.silentSincePathLost() {
-		a.hangs = a.req.pool.recordHanging(now, a.target, a.startedAt)
+	if !a.hangs && a.silentSincePathLost() && a.req.pool.recordHanging(now, a.target, a.startedAt) {
+		a.hangs = true
+		a.relay.Log.Write(now, timeline.Event{
+			Kind: "attempt_hangs", Request: a.req.ID, Target: a.target.ID, Attempt: a.number, Why: reasonPathLost, Entry: a.req.route.Name, Decision: "not_counted",
+			Inputs: []timeline.Input{{Name: "begun_ms", Value: ageMillis(now, a.startedAt)}, {Name: "lost_ms", Value: ageMillis(now, a.relay.Links.lostSince(a.target))}},
+		})
 	}
 	next := now.Add(max(lossCheckInterval, now.Sub(a.startedAt)/silentCallFraction))
 	if next.After(a.req.deadline) {
--- a/internal/relay/path_check_test.go
+++ b/internal/relay/path_check_test.go
@@ -85,6 +85,7 @@
 		require.NotEqual(t, http.StatusOK, (<-response).status)
 	}
 	require.EqualValues(t, 1, load(), "the long call still counts at the end of the hanging ones")
+	require.Equal(t, []string{reasonPathLost, reasonPathLost}, f.relays[0].log.reasons(t, "attempt_hangs"))
 	require.Equal(t, http.StatusOK, (<-long).status)
 	require.Zero(t, load())
 }
