--- a/internal/relay/cut_test.go
+++ b/internal/relay/cut_test.go
@@ -120,7 +120,7 @@
 				r := &list[i]
 				switch since := r.sentAt.Sub(cutAt); {
 				case since > 1500*time.Millisecond && since < 3*time.Second && !r.served():
-					require.Equal(t, 503, r.status, r.id)
+					require.Equal(t, 503, r.status, "%s sent %v after the cut, took %v, %q, %v", r.id, since, r.took, r.body, r.err)
 					require.Contains(t, r.body, codeTargetsUnreachable)
 					if r.took < 50*time.Millisecond {
 						soon++
