Send each request of TestDrain on the connection opened for it

Cause: the test opened a connection to see whether the port is open, closed it, and then sent the request on a second one. The port may close between the two at the end of the drain period, as it should; the test took that for a failure.

Change: the request goes out on the connection that was opened for it. A refused connection ends the loop as before, and the drain period must have passed by then. What was accepted must be answered, whole or with the refusal of a stopping instance and true about whether it ran. That is stricter: an accepted connection that was closed unanswered used to end the test well if nothing was sent on it.

--- a/internal/server/session_test.go
+++ b/internal/server/session_test.go
@@ -5,12 +5,12 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httputil"
 	"net/netip"
 	"regexp"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -211,26 +211,33 @@
 	<-in.done
 }
 
-// TestDrain guards against a closed port while a load balancer still sends callers to a stopping instance.
+// TestDrain guards against a closed port while a load balancer still sends callers to a stopping instance,
+// and against a request without an answer on a connection that it accepted at the end of the drain period.
 func TestDrain(t *testing.T) {
-	f := fastEngine{tokenBytes: 10}
-	in := startInstance(t, server.DefaultLimits(), startEngine(t, f))
+	g := &recordingTarget{}
+	in := startStopInstance(t, g, server.DefaultLimits().DrainPeriod, 10*time.Second)
 	startedAt := time.Now()
 	in.stop()
 	require.Eventually(t, func() bool { return !in.Ready() }, 5*time.Second, time.Millisecond)
 	served := 0
 	for {
-		conn, err := net.Dial("tcp", in.Address().String())
+		// Each request goes out on the connection that was opened for it: the port may close before a second one.
+		c, err := dialRaw(in.Address())
 		if err != nil {
+			require.ErrorIs(t, err, syscall.ECONNREFUSED)
 			break
 		}
-		require.NoError(t, conn.Close())
-		out := sendExchange(t, in, exchange{body: `{"model":"ferry-llm","prompt":"p","max_tokens":4}`})
-		require.Contains(t, out, "Connection: close", "an idle connection would outlive the drain")
-		if strings.Contains(out, `"code":"leaving"`) {
+		id := fmt.Sprintf("drain-%d", served)
+		_, err = io.WriteString(c, rawRequest("whole", id))
+		require.NoError(t, err)
+		a, err := c.answer()
+		require.NoError(t, err)
+		require.NoError(t, c.Close())
+		require.True(t, a.close, "an idle connection would outlive the drain")
+		require.NoError(t, a.checkLeaving(g, id))
+		if a.status != http.StatusOK {
 			break
 		}
-		require.Contains(t, out, f.expectedAnswer("p", 4))
 		served++
 		time.Sleep(50 * time.Millisecond)
 	}
