Make a new connection for the next attempt of a silent request

Callers saw: in the first second of a cut, repeatable calls that ended at their time limit although other instances reached the targets, and streams that paused twice.

Cause: the second attempt of a call that is slow, and the attempt with which a stream continues elsewhere, were sent on a kept connection. If the first one is silent since the own links are cut, the kept connection hangs as well, and a call has then used the attempts that it may have. Class: a repetition that shares the fault of what it repeats. Only requests whose kept connection had been lost (reset or closed) made new ones.

Change: once an attempt is silent (a call that is slow, a stream that is given up for silence or a lost path), the request's further attempts make new connections.

Why not other ways: attempts that hang on a path that is known to be lost could be left out of maxAttempts, but with a cut in one direction they have run. A kept connection that has received data since would do too, but the links may have been cut after that data came.

Ruled out: kept connections that a verdict on the path should have excluded; the verdict comes some 0.3 s after the call is sent, the second attempt before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -84,7 +84,7 @@
 // sendRequest connects, sends the request and reads the response header.
 func (a *attempt) sendRequest(ctx context.Context, info AttemptInfo, nextCheck time.Time, onSilence silenceFunc) error {
 	connect := a.relay.targetConns.get
-	if a.req.keptConnLost.Load() {
+	if a.req.needsNewConn.Load() {
 		connect = a.relay.targetConns.dial
 	}
 	begunAt := time.Now()
@@ -202,7 +202,7 @@
 		a.relay.targetConns.closeIdle(a.target.Address)
 	}
 	if result.Unreachable && a.sent && a.conn.reused && !a.conn.dataReceived {
-		a.req.keptConnLost.Store(true)
+		a.req.needsNewConn.Store(true)
 	}
 	if a.conn != nil && a.conn.carrierLost {
 		a.relay.Links.recordCarrierFailure(now, a.conn.carrier, "")
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -116,6 +116,7 @@
 			}
 		case <-hedge.C:
 			if c.mayRetry() {
+				c.req.needsNewConn.Store(true)
 				c.startAttempt(sendCtx, "slow")
 			}
 		case <-ctx.Done():
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -46,9 +46,9 @@
 	deadline  time.Time
 	// attemptCount is the number of attempts so far.
 	attemptCount int
-	// keptConnLost is set when an attempt was lost on a kept connection that brought nothing: others may be lost as
-	// well, which only shows when they are used.
-	keptConnLost atomic.Bool
+	// needsNewConn is set when an attempt is silent, or was lost on a kept connection that brought nothing: other kept
+	// connections may be lost as well, which only shows when they are used.
+	needsNewConn atomic.Bool
 	// disableInterrupt lets the request go on after the time at which a stop interrupts requests.
 	disableInterrupt func() bool
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -163,6 +163,9 @@
 				}
 				silent := action.Reason == generation.SilentAgain
 				st.awaitsReplacement = silent || action.Reason == reasonLostByOthers || action.Reason == reasonPathLost
+				if silent || action.Reason == reasonPathLost {
+					st.req.needsNewConn.Store(true)
+				}
 				st.currentAttempt.wentSilent = silent && !st.currentAttempt.firstEventAt.IsZero()
 				st.endAttempt(engine.RequestResult{Unreachable: silent, Cancelled: !silent}, false, action.Reason)
 			}
