Refuse a stream that has tried an unreachable pool

Callers saw: while no instance reached any target, other requests were refused at once, but a stream that was let through to try again waited until its time limit.

Cause: of the requests to an unreachable pool one in 200 ms tries again. A call whose try reaches nothing is refused; a stream went on with further attempts, with growing pauses. Class: a trial that has no end of its own. Besides, asking whether the pool is unreachable took the next trial: a call that had just failed could go on in the place of another request.

Change: a stream that no target has accepted is refused when an attempt reaches nothing and the pool is unreachable. Reachability.Unreachable asks without taking a trial; Refuses is for new requests only.

Tests: TestStreamThatReachesNoTargetIsRefused, red before in 3 of 3 (4.0 s, its whole time limit; 2 s asked), green after in 3 of 3. TestRequestsAreRefusedAtOnceWhileNoInstanceReachesTargets: 2 of 40 runs red before, ten beside each other (streams sent 2.2 and 2.3 s after the cut that began at its end and met their time limit of 1.5 s), and once in a run of the package; 0 of 60 after in the same setting.

Ruled out: load as the cause; it decides only whether the trial falls to a stream that is sent late enough.

--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -75,7 +75,7 @@
 		r.refuse(w, req, refusal)
 		return
 	}
-	if req.pool.isUnreachable(now) {
+	if req.pool.refusesUnreachable(now) {
 		r.refuse(w, req, notRunRefusal(codeTargetsUnreachable, jitter(route.ReachInterval)))
 		return
 	}
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -107,7 +107,11 @@
 		ev.Kind = generation.Unreachable
 		current.wentSilent = isSilence(err)
 		st.unreachable++
+		st.aborted = st.acceptedCount == 0 && st.req.pool.isUnreachable(now)
 		st.endAttempt(engine.RequestResult{Unreachable: st.ctx.Err() == nil}, false, reasonUnreachable)
+		if st.aborted {
+			return
+		}
 	case err != nil:
 		st.acceptedCount++
 		ev.Kind = generation.ConnectionLost
--- a/internal/relay/target_paths.go
+++ b/internal/relay/target_paths.go
@@ -70,8 +70,16 @@
 	p.reachability.RecordReached()
 }
 
-// isUnreachable reports whether a request is to be refused at once, since no target can be reached.
+// isUnreachable reports whether no target can be reached, so that a request that has tried one tries no other.
 func (p *pool) isUnreachable(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reachability.Unreachable(now, len(p.targets))
+}
+
+// refusesUnreachable reports whether a request is to be refused before it tries, since no target can be reached; one in a
+// while is let through.
+func (p *pool) refusesUnreachable(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.reachability.Refuses(now, len(p.targets))
--- a/pkg/route/reachability.go
+++ b/pkg/route/reachability.go
@@ -30,15 +30,20 @@
 // RecordReached records that a target was reached.
 func (r *Reachability) RecordReached() { clear(r.failedAt) }
 
-// Refuses reports whether a request is to be refused at once, since no target of a pool of some size can be reached. It
-// lets one request pass in each ReachInterval.
-func (r *Reachability) Refuses(now time.Time, size int) bool {
+// Unreachable reports whether no target of a pool of some size can be reached.
+func (r *Reachability) Unreachable(now time.Time, size int) bool {
 	for id, at := range r.failedAt {
 		if now.Sub(at) > unreachableWindow {
 			delete(r.failedAt, id)
 		}
 	}
-	if size == 0 || len(r.failedAt) < min(unreachableTargets, size) {
+	return size > 0 && len(r.failedAt) >= min(unreachableTargets, size)
+}
+
+// Refuses reports whether a request is to be refused at once, since the pool is unreachable. It lets one request pass in
+// each ReachInterval.
+func (r *Reachability) Refuses(now time.Time, size int) bool {
+	if !r.Unreachable(now, size) {
 		return false
 	}
 	if now.Sub(r.triedAt) >= ReachInterval {
