--- a/internal/relay/room_queue.go
+++ b/internal/relay/room_queue.go
@@ -40,7 +40,9 @@
 	q.wakeFirst()
 }
 
-func (q *roomQueue) isFirst(wake chan struct{}) bool { return len(q.waiting) > 0 && q.waiting[0] == wake }
+func (q *roomQueue) isFirst(wake chan struct{}) bool {
+	return len(q.waiting) > 0 && q.waiting[0] == wake
+}
 
 func (q *roomQueue) wakeFirst() {
 	if len(q.waiting) == 0 {
