Refuse a call that waited for room as not run whatever ended its wait

Read again: a call whose caller left while it waited for the room of a brittle engine was logged as abandoned with an unknown outcome, although nothing was sent. It now ends like any call for which there is no target: refused as not run. No caller sees a difference unless the instance stops meanwhile; then the answer is the refusal for want of room, which is true as well.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -74,10 +74,6 @@
 	c := &callHandler{relay: r, req: req, w: w, results: make(chan *attemptResult, maxRefusals+max(req.route.MaxAttempts, 1)+1)}
 	req.pool.recordRequest(time.Now())
 	if !c.startFirst(ctx, sendCtx) {
-		if ctx.Err() != nil {
-			c.abandon(ctx)
-			return
-		}
 		refusal := req.backoffRefusal(time.Now(), 0)
 		if refusal == nil {
 			refusal = notRunRefusal(codeNoTarget, jitter(unavailableRetryAfter))
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -86,7 +86,8 @@
 	limits route.RateLimits
 	// refusalLimits holds which targets bear few refusals, and their room.
 	refusalLimits route.RefusalLimits
-	rooms         roomQueue
+	// rooms holds the calls that wait until such a target has room.
+	rooms roomQueue
 	// reachability holds whether any target can be reached.
 	reachability route.Reachability
 	// arrivals measures the requests that this instance gets for the pool.
