Let a panic in the work for a request end that request only

From the faults that operators of similar systems reported: one malformed message or unexpected error took a whole process down. It can happen here.

Callers would see: all requests of an instance broken off. The attempts of calls run in goroutines of their own, where nothing recovers a panic, so that an unforeseen answer of one engine would end the process; and again for each retry at the next instance. For streams net/http recovered, but the connection closed without an answer, nothing was logged, and the request stayed counted at its target. No answer is known that does this; internal/server is guarded since its first version (TestHandlerPanic).

Cause: the relay was written without a boundary for unforeseen errors.

Change: a panic in an attempt is a failure of the attempt (502 bad_answer, outcome unknown); in a stream or another part of a request it ends the request. It is logged as `panicked`, by line and without its value, which may hold a part of a request, and counted in bambooferry_panics_total. Checks in the background are guarded too. Locks that are taken in this work and given up by hand are now given up on a panic as well: a lock that stays held would stop all requests, which is worse than the end of the process.

Not covered: connection setups, datagrams of other instances, the store's messages and the deciders of roll-outs; a panic there still ends the process.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -65,6 +65,8 @@
 	firstEventAt time.Time
 	lastEventAt  time.Time
 	eventCount   int
+	// finished is set when the attempt's result is recorded.
+	finished bool
 	// answerRecorded is set when the answer was recorded as one that did not crash its target.
 	answerRecorded bool
 }
@@ -187,6 +189,7 @@
 
 // finish keeps or closes the connection and records the result of the attempt.
 func (a *attempt) finish(now time.Time, result engine.RequestResult, complete bool, reason string) {
+	a.finished = true
 	took := now.Sub(a.startedAt)
 	if a.conn != nil {
 		reusable := a.cancelClose() && complete && !a.res.Close && hasExplicitEnd(a.res)
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -100,7 +100,7 @@
 	c.possibleRuns++
 	c.openAttempts++
 	a := c.relay.newAttempt(now, c.req, t, c.req.attemptCount+1, reason, load)
-	go func() { c.results <- a.runCall(ctx) }()
+	go func() { c.results <- a.runCallGuarded(ctx) }()
 	return true
 }
 
--- a/internal/relay/crash_parts.go
+++ b/internal/relay/crash_parts.go
@@ -164,12 +164,13 @@
 // recordPartCrash records that a request was lost in a crash, and reports whether the other instances are to
 // receive its parts.
 func (c *CrashTracker) recordPartCrash(now time.Time, crash booking.PartCrash) bool {
-	c.mu.Lock()
-	c.parts.init()
-	c.parts.detector.RecordCrash(now, crash)
-	served := c.servedParts(now, crash.Parts)
-	report := c.parts.limiter.AllowN(now, 1)
-	c.mu.Unlock()
+	served, report := map[string]int64(nil), false
+	withLock(&c.mu, func() {
+		c.parts.init()
+		c.parts.detector.RecordCrash(now, crash)
+		served = c.servedParts(now, crash.Parts)
+		report = c.parts.limiter.AllowN(now, 1)
+	})
 	if len(served) > 0 {
 		c.broadcast(&crashMessage{ServedParts: served})
 	}
@@ -184,14 +185,15 @@
 		// Answers of other kinds of targets say nothing about these.
 		return
 	}
-	c.mu.Lock()
-	c.parts.init()
-	cleared := c.parts.detector.RecordAnswer(now, begunAt, parts)
-	for _, part := range cleared {
-		delete(c.parts.reportedServed, part)
-	}
-	served := c.servedParts(now, cleared)
-	c.mu.Unlock()
+	served := map[string]int64(nil)
+	withLock(&c.mu, func() {
+		c.parts.init()
+		cleared := c.parts.detector.RecordAnswer(now, begunAt, parts)
+		for _, part := range cleared {
+			delete(c.parts.reportedServed, part)
+		}
+		served = c.servedParts(now, cleared)
+	})
 	if len(served) > 0 {
 		c.broadcast(&crashMessage{ServedParts: served})
 	}
@@ -219,13 +221,14 @@
 
 // decide marks the parts against which the evidence suffices, and broadcasts the new marks.
 func (c *CrashTracker) decide(now time.Time) {
-	c.mu.Lock()
-	marked := c.parts.detector.Decide(now)
-	for i := range marked {
-		c.parts.own[marked[i].Part] = true
-		c.reportMark(now, &marked[i], "crashes")
-	}
-	c.mu.Unlock()
+	var marked []booking.PartMark
+	withLock(&c.mu, func() {
+		marked = c.parts.detector.Decide(now)
+		for i := range marked {
+			c.parts.own[marked[i].Part] = true
+			c.reportMark(now, &marked[i], "crashes")
+		}
+	})
 	c.broadcastMarks(now, marked)
 }
 
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -123,9 +123,8 @@
 
 // recordServed clears a request that a target has run to its end.
 func (c *CrashTracker) recordServed(req *callerRequest) {
-	c.mu.Lock()
-	suspected := !c.counter.Empty() && c.counter.RecordSuccess(req.digest())
-	c.mu.Unlock()
+	suspected := false
+	withLock(&c.mu, func() { suspected = !c.counter.Empty() && c.counter.RecordSuccess(req.digest()) })
 	if suspected {
 		c.broadcast(&crashMessage{Digest: req.digest(), Served: true})
 	}
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -66,6 +66,9 @@
 }
 
 func (testCodec) ParseResponse(now time.Time, res *http.Response) ResponseInfo {
+	if res.Header.Get("Panic") != "" {
+		panic("secret prompt")
+	}
 	backoff, _ := time.ParseDuration(res.Header.Get("Back-Off"))
 	limit, limitErr := strconv.ParseFloat(res.Header.Get("Limit"), 64)
 	tolerance, brittleErr := strconv.ParseFloat(res.Header.Get("Brittle"), 64)
--- a/internal/relay/limit.go
+++ b/internal/relay/limit.go
@@ -67,12 +67,12 @@
 		return
 	}
 	p, r := a.req.pool, a.relay
-	p.mu.Lock()
-	changed := p.limits.Record(a.target, route.RateStatement{PerSecond: a.info.Limit, Limited: a.info.Limited, HeardAt: now}, true)
-	if changed {
-		p.signalProgress()
-	}
-	p.mu.Unlock()
+	changed := false
+	withLock(&p.mu, func() {
+		if changed = p.limits.Record(a.target, route.RateStatement{PerSecond: a.info.Limit, Limited: a.info.Limited, HeardAt: now}, true); changed {
+			p.signalProgress()
+		}
+	})
 	if !changed {
 		return
 	}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -47,6 +47,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("bambooferry_requests_unanswered_total{closed_by=%q,phase=%q}", u.ClosedBy, u.Phase)).Inc()
 }
 
+// recordPanic counts panics that were recovered.
+func (m *instruments) recordPanic() {
+	m.set.GetOrCreateCounter("bambooferry_panics_total").Inc()
+}
+
 // recordStatement counts what targets state about new requests: "leaving" or "backoff".
 func (m *instruments) recordStatement(statement string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("bambooferry_target_statements_total{statement=%q}", statement)).Inc()
--- a/internal/relay/refusallimit.go
+++ b/internal/relay/refusallimit.go
@@ -108,13 +108,13 @@
 		return
 	}
 	p, r := a.req.pool, a.relay
-	p.mu.Lock()
-	stated := p.refusalLimits.Record(a.target, route.RefusalStatement{PerSecond: a.info.Tolerance, Brittle: a.info.Brittle, HeardAt: now, RoomAt: now}, true)
-	learnt := p.recordRoom(now, a)
-	if stated || learnt {
-		p.signalProgress()
-	}
-	p.mu.Unlock()
+	stated := false
+	withLock(&p.mu, func() {
+		stated = p.refusalLimits.Record(a.target, route.RefusalStatement{PerSecond: a.info.Tolerance, Brittle: a.info.Brittle, HeardAt: now, RoomAt: now}, true)
+		if learnt := p.recordRoom(now, a); stated || learnt {
+			p.signalProgress()
+		}
+	})
 	if !stated {
 		return
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -129,7 +129,14 @@
 	r.probesMu.Lock()
 	defer r.probesMu.Unlock()
 	if r.probeContext != nil && r.probeContext.Err() == nil {
-		r.probes.Go(probe)
+		r.probes.Go(func() {
+			defer func() {
+				if recover() != nil {
+					r.logPanic(time.Now(), "")
+				}
+			}()
+			probe()
+		})
 	}
 }
 
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -56,7 +56,13 @@
 // serveRequest responds to one request of a caller.
 func (r *Relay) serveRequest(w http.ResponseWriter, httpReq *http.Request) {
 	now := time.Now()
-	req := &callerRequest{RequestInfo: r.Codec.ParseRequest(httpReq), http: httpReq, startedAt: now}
+	req := &callerRequest{http: httpReq, startedAt: now}
+	defer func() {
+		if v := recover(); v != nil {
+			r.abortOnPanic(v, req.ID)
+		}
+	}()
+	req.RequestInfo = r.Codec.ParseRequest(httpReq)
 	if refusal := r.admit(now, req); refusal != nil {
 		r.refuse(w, req, refusal)
 		return
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -92,6 +92,11 @@
 		},
 	}
 	st.gen.ReserveReplacement = st.reserveReplacement
+	defer func() {
+		if v := recover(); v != nil {
+			st.endPanicked(v)
+		}
+	}()
 	if req.Resuming {
 		st.idOffset, st.idOffsetKnown = req.LastEventID+1, true
 	}
--- a/pkg/timeline/writer.go
+++ b/pkg/timeline/writer.go
@@ -75,10 +75,7 @@
 	if w == nil || w.Out == nil {
 		return
 	}
-	w.mu.Lock()
-	w.init()
-	w.writeEvent(now, &ev)
-	w.mu.Unlock()
+	w.addEvent(now, &ev)
 	if w.QueueBytes == 0 {
 		_ = w.Flush()
 	}
@@ -143,6 +140,13 @@
 	}
 }
 
+func (w *Writer) addEvent(now time.Time, ev *Event) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.init()
+	w.writeEvent(now, ev)
+}
+
 // writeEvent adds an event as a line or counts why it is not written; the caller holds mu.
 func (w *Writer) writeEvent(now time.Time, ev *Event) {
 	if w.closed {
