--- a/internal/relay/replacement.go
+++ b/internal/relay/replacement.go
@@ -112,7 +112,7 @@
 	return reserved
 }
 
-// releaseReservation gives the reserved target back if no attempt has begun there.
+// releaseReservation releases the reserved target if no attempt was started there.
 func (st *streamHandler) releaseReservation(now time.Time) {
 	if reserved := st.takeReservation(); reserved != nil {
 		st.req.pool.releaseTarget(now, reserved.target)
