Check whole answers of several tokens in TestDrain again

Answers had one token where they had four, and the limits were the test's own in place of the defaults.

Change: the engine, the four tokens, their whole text and the default limits are back; one connection a request, the answer to all that was accepted and the truth of the refusal stay.

--- a/internal/server/session_test.go
+++ b/internal/server/session_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"regexp"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -214,11 +215,18 @@
 // TestDrain guards against a closed port while a load balancer still sends callers to a stopping instance,
 // and against a request without an answer on a connection that it accepted at the end of the drain period.
 func TestDrain(t *testing.T) {
-	g := &recordingTarget{}
-	in := startStopInstance(t, g, server.DefaultLimits().DrainPeriod, 10*time.Second)
+	f := fastEngine{tokenBytes: 10}
+	var runs atomic.Int64
+	in := startInstance(t, server.DefaultLimits(), startEngine(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			runs.Add(1)
+		}
+		f.ServeHTTP(w, r)
+	})))
 	startedAt := time.Now()
 	in.stop()
 	require.Eventually(t, func() bool { return !in.Ready() }, 5*time.Second, time.Millisecond)
+	body := `{"model":"ferry-llm","prompt":"p","max_tokens":4}`
 	served := 0
 	for {
 		// Each request goes out on the connection that was opened for it: the port may close before a second one.
@@ -227,17 +235,18 @@
 			require.ErrorIs(t, err, syscall.ECONNREFUSED)
 			break
 		}
-		id := fmt.Sprintf("drain-%d", served)
-		_, err = io.WriteString(c, rawRequest("whole", id))
+		_, err = fmt.Fprintf(c, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", testKey, len(body), body)
 		require.NoError(t, err)
 		a, err := c.answer()
 		require.NoError(t, err)
 		require.NoError(t, c.Close())
 		require.True(t, a.close, "an idle connection would outlive the drain")
-		require.NoError(t, a.checkLeaving(g, id))
-		if a.status != http.StatusOK {
+		if a.refusal.Code == "leaving" {
+			require.Equal(t, generation.NotRun, a.refusal.Outcome)
+			require.EqualValues(t, served, runs.Load(), "the refused request has run")
 			break
 		}
+		require.Contains(t, a.body, f.expectedAnswer("p", 4))
 		served++
 		time.Sleep(50 * time.Millisecond)
 	}
