--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -44,13 +44,13 @@
 	leases map[int64]*lease
 	next   int64
 	down   bool
-	// lastWatch is when each listener last received a watch.
-	lastWatch map[string]time.Time
+	// watches holds when each listener has received watches.
+	watches map[string][]time.Time
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	s := &Store{items: map[string]Item{}, leases: map[int64]*lease{}, revision: 1, first: 1, era: 1, next: 1, lastWatch: map[string]time.Time{}}
+	s := &Store{items: map[string]Item{}, leases: map[int64]*lease{}, revision: 1, first: 1, era: 1, next: 1, watches: map[string][]time.Time{}}
 	go func() {
 		for {
 			time.Sleep(20 * time.Millisecond)
@@ -71,7 +71,7 @@
 	mux.HandleFunc("GET /api/kv-range", s.handleRange)
 	mux.HandleFunc("GET /api/kv-watch", func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		s.lastWatch[name] = time.Now()
+		s.watches[name] = append(s.watches[name], time.Now())
 		s.mu.Unlock()
 		s.handleWatch(w, r)
 	})
@@ -85,18 +85,22 @@
 	return l.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
-// Watchers returns the names of the instances that have sent a watch within some time.
-func (s *Store) Watchers(within time.Duration) []string {
+// Readers returns the names of the n instances that have sent the most watches within some time.
+func (s *Store) Readers(n int, within time.Duration) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	counts := map[string]int{}
 	var names []string
-	for name, at := range s.lastWatch {
-		if time.Since(at) < within {
-			names = append(names, name)
+	for name, list := range s.watches {
+		names = append(names, name)
+		for _, at := range list {
+			if time.Since(at) < within {
+				counts[name]++
+			}
 		}
 	}
-	sort.Strings(names)
-	return names
+	sort.Slice(names, func(i, j int) bool { return counts[names[i]] > counts[names[j]] })
+	return names[:min(n, len(names))]
 }
 
 // Put writes a key, as the operator or a target does.
