--- a/review/4/main.go
+++ b/review/4/main.go
@@ -1,19 +1,34 @@
-// Command 4 sends requests whose path begins with two slashes and checks that their target gets them as they were sent.
+// Command 4 kills the two instances that may decide on a rollout, and checks how long the bad version of that rollout
+// goes on to get requests from the others.
 package main
 
 import (
+	"errors"
 	"fmt"
-	"net/http"
 	"os"
-	"sync"
+	"slices"
 	"time"
 
 	"bambooferry.example/bambooferry/review/lab"
 )
 
 const (
-	host     = "desk.example"
-	requests = 20
+	// bookCallers send requests one after another with a mean pause.
+	bookCallers = 24
+	meanPause   = 30 * time.Millisecond
+	interval    = 60 * time.Second
+	// killAfter is the time after the order at which the instances are killed and the new version turns bad.
+	killAfter = 10 * time.Second
+	badShare  = 0.5
+	// watchTime is the time for which the traffic goes on after that.
+	watchTime = 30 * time.Second
+	// rollback is the time after the fiftieth bad answer from which the version must get nothing.
+	rollback   = 5 * time.Second
+	badAnswers = 50
+	// readers is the number of instances that read the store for the others, and readWindow the time within which they
+	// have sent more watches than the others.
+	readers    = 2
+	readWindow = 5 * time.Second
 )
 
 func main() { os.Exit(run()) }
@@ -25,73 +40,89 @@
 		return 2
 	}
 	defer rec.Close()
-	d, err := lab.NewDeployment(rec, 2, 2)
+	d, err := lab.NewDeployment(rec, 6, 3)
 	if err != nil {
 		fmt.Println(err)
 		return 2
 	}
 	defer d.Stop()
-	start := "//"
-	if os.Getenv("TROUBLE") == "0" {
-		start = "/"
+	broken, err := play(&lab.Desk{Deployment: d, BadVersion: "v2", BadShare: badShare}, os.Getenv("TROUBLE") != "0")
+	switch {
+	case err != nil:
+		rec.Printf("the case can't run: %v", err)
+		fmt.Println(err)
+		return 2
+	case broken:
+		return 1
 	}
-	// The prefix of one slash begins and ends with a slash.
-	d.Store.Put("op/config", map[string]any{
-		"version": 1,
-		"routes": []map[string]any{{
-			"name": "book", "host": host, "pathPrefix": "/", "kind": "unsafe", "timeoutMs": 1000, "targetLatencyMs": 150, "priority": 2, "service": "desk", "maxAttempts": 1,
-		}},
-		"services": []map[string]any{{"name": "desk", "healthPath": "/health", "maxConnections": 110}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
-	var mu sync.Mutex
-	ran := map[string]string{}
-	for i := range 2 {
-		t := &lab.Target{
-			ID: fmt.Sprintf("desk-%d", i+1), Service: "desk", Version: "v1", Zone: lab.ZoneName(i), Slots: 6, Record: rec,
-			Run: func(_ *lab.Target, r *http.Request, id string) lab.Answer {
-				mu.Lock()
-				defer mu.Unlock()
-				ran[id] = r.Method + " " + r.RequestURI
-				return lab.Answer{Status: http.StatusOK, Body: "booked " + id}
-			},
-		}
-		if err := t.Start(d.Store); err != nil {
-			fmt.Println(err)
-			return 2
-		}
+	return 0
+}
+
+func play(d *lab.Desk, trouble bool) (broken bool, err error) {
+	d.PutConfig()
+	if _, err := d.StartTargets("desk", "v1"); err != nil {
+		return false, err
+	}
+	if _, err := d.StartTargets("info", "v1"); err != nil {
+		return false, err
 	}
 	if err := d.Start(); err != nil {
-		fmt.Println(err)
-		return 2
+		return false, err
 	}
-	time.Sleep(500 * time.Millisecond)
-	changed, answered := 0, 0
-	for i := range requests {
-		c := &lab.Caller{Instance: d.Instances[i%2], Host: host}
-		id, target := fmt.Sprintf("r%d", i), fmt.Sprintf("%smarket-%d/pitch?place=%d", start, i%3, i)
-		rec.Printf("sent %s: POST %s", id, target)
-		reply := c.Send(http.MethodPost, target, id, time.Second)
-		c.Close()
-		rec.Printf("answered %s: %d %s", id, reply.Status, reply.Body)
-		if reply.Status == http.StatusOK {
-			answered++
+	stop := d.StartTraffic(bookCallers, 0, meanPause)
+	defer stop()
+	time.Sleep(5 * time.Second)
+	orderedAt := time.Now()
+	d.Order("v2", interval)
+	if _, err := d.StartTargets("desk", "v2"); err != nil {
+		return false, err
+	}
+	time.Sleep(time.Until(orderedAt.Add(killAfter)))
+	badFrom := time.Now()
+	d.SetBad(badFrom)
+	d.Record.Printf("v2 turns bad")
+	if trouble {
+		names := d.Store.Readers(readers, readWindow)
+		for _, in := range d.Instances {
+			if slices.Contains(names, in.Name) {
+				in.Kill()
+				d.Record.Printf("%s is killed and does not come back", in.Name)
+			}
 		}
-		mu.Lock()
-		if got, ok := ran[id]; ok && got != "POST "+target {
-			changed++
-			rec.Printf("UNASKED: %s was sent as POST %s and run as %s", id, target, got)
+	}
+	time.Sleep(watchTime)
+	stop()
+	for _, in := range d.Instances {
+		if !trouble && !in.Running() {
+			return false, errors.New(in.Name + " has ended")
 		}
-		mu.Unlock()
 	}
-	summary := fmt.Sprintf("%d requests, %d answered with success, %d run with another path than they were sent with", requests, answered, changed)
-	rec.Printf("%s", summary)
-	fmt.Println(summary)
-	switch {
-	case changed > 0:
-		return 1
-	case answered == 0:
-		return 2
+	return judge(d, orderedAt, badFrom), nil
+}
+
+// judge checks the rule from what the targets have seen.
+func judge(d *lab.Desk, orderedAt, badFrom time.Time) (broken bool) {
+	bad, all, exposed := 0, 0, 0
+	var fiftieth, last time.Time
+	late := 0
+	for _, a := range d.Arrivals("desk", orderedAt, time.Now()) {
+		all++
+		if a.Version != d.BadVersion {
+			continue
+		}
+		exposed++
+		if a.Bad {
+			if bad++; bad == badAnswers {
+				fiftieth = a.At
+			}
+		}
+		if !fiftieth.IsZero() && a.At.After(fiftieth.Add(rollback)) {
+			late++
+			last = a.At
+		}
 	}
-	return 0
+	state, version := d.Status()
+	d.Report("EXPOSURE: %d bad answers; %d requests reached v2 later than %v after the %dth, the last %.1f s after v2 turned bad", bad, late, rollback, badAnswers, max(last.Sub(badFrom).Seconds(), 0))
+	d.Report("v2 got %d of the %d requests that reached its service; status: %s %s", exposed, all, version, state)
+	return late > 0
 }
