--- a/review/lab/deployment.go
+++ b/review/lab/deployment.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -151,6 +152,7 @@
 
 // Start starts all instances and waits until they are ready.
 func (d *Deployment) Start() error {
+	d.stopOnSignal()
 	for _, in := range d.Instances {
 		if err := d.StartInstance(in); err != nil {
 			return err
@@ -169,6 +171,17 @@
 	return nil
 }
 
+// stopOnSignal ends all processes, and this one, when it is told to stop.
+func (d *Deployment) stopOnSignal() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		d.Stop()
+		os.Exit(2)
+	}()
+}
+
 // StartInstance starts the process of an instance.
 func (d *Deployment) StartInstance(in *Instance) error {
 	log, err := os.OpenFile(filepath.Join(d.dir, in.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
