Bound the exposure of an unproven version at each instance, and let its share end unless confirmed

What callers saw: a version that fails half of its requests got more of them than exposeShare and badVersionSlack allow (114 of 638 where 114 are allowed, 166 of 637), and went on to get them later than 5 s after its 50th bad answer (238 requests).

Cause: the bound was kept by one process, in one state of the change, from what it had been told, and all others trusted its last word without end. When both candidates were lost the share went on for 8 s; their successor knew of 28 of 114 requests. The plan itself exceeded the bound: after the trial the share grew for the last quarter of the interval, and settling took 2 s of all requests. The trial's share was planned from the requests of the decider alone, taken over 10 s of which 4 had passed.

Change, one design: - Each instance has its own part of the bound (version.Allowance) and keeps it in all states until the change has succeeded. - Instances report all that they have counted, and are answered. A share ends 2 s after the last report that was answered was sent, and at once if the answer says that the version is bad. A successor gets all counts from the start. - A change without a decider for 1.5 s is taken over by any instance; a decider that hears of no other one resigns. - The trial's share lasts until the last second or so. It is planned anew at each step from what has reached the version, with the final time, in which the version gets all requests, within 0.85 of the bound. That time is judged by its own results.

Why it works: the parts of all instances add up to less than the bound, and no message, clock or decider is needed to keep them. What needs messages, the end after proof, fails safe without them.

Builds side by side: the record has two more fields, which drops; the change in it, which that build decodes strictly, has none. Reports and answers are new kinds of datagrams, sent only to instances that list evidence_format; the others get the differences as before. A share of a decider of the former build is confirmed by its records.

TestUnconfirmedShareEnds and TestShareOfFormerBuildStaysWithinBounds fail without the end of a share, the latter (3,600 where 422 are allowed) and TestTrafficThatFalls without the local bound.

TestOrderedVersionWaitsForTheDecider: with its two candidates cut off another instance now begins the change, so the test cuts all off from the store, which is stricter. The simulated instances stay listed for 30 s after their death, as real ones do.

--- a/internal/feed/membership.go
+++ b/internal/feed/membership.go
@@ -35,6 +35,8 @@
 	// others that a connection is from this instance.
 	TunnelAddress netip.AddrPort `json:"tunnel,omitzero"`
 	TunnelKey     string         `json:"tunnel_key,omitempty"`
+	// EvidenceFormat is the latest format of evidence that it reads; 0 is the first one.
+	EvidenceFormat int `json:"evidence_format,omitempty"`
 }
 
 // PeerCaller calls a method of another instance; it is *peer.Network.
@@ -158,17 +160,17 @@
 	return lowerHashes
 }
 
-// ReaderAddresses returns the addresses of the instances that read the store for all, without this one's.
-func (m *Membership) ReaderAddresses() []netip.AddrPort {
+// Readers returns the instances that read the store for all, without this one.
+func (m *Membership) Readers() []Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	keys := slices.SortedFunc(maps.Keys(m.members), func(a, b string) int {
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
 	})
-	var list []netip.AddrPort
+	var list []Member
 	for _, key := range keys[:min(len(keys), readerCount)] {
-		if a := m.members[key].Address; a != m.Self {
-			list = append(list, a)
+		if member := m.members[key]; member.Address != m.Self {
+			list = append(list, member)
 		}
 	}
 	return list
--- a/internal/gossip/socket.go
+++ b/internal/gossip/socket.go
@@ -21,6 +21,9 @@
 	KindStoreChanges Kind = 'n'
 	// KindEvidence carries results of a change of version.
 	KindEvidence Kind = 'e'
+	// KindReport carries all that an instance has counted for a change of version, and KindConfirmation the answer.
+	KindReport       Kind = 'r'
+	KindConfirmation Kind = 'k'
 	// KindCrashReport reports requests that crash targets.
 	KindCrashReport Kind = 'c'
 )
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -105,6 +105,7 @@
 	a.cancelClose = context.AfterFunc(ctx, func() { _ = c.Close() })
 	c.nextCheck, c.onSilence = nextCheck, onSilence
 	a.sent = true
+	a.req.pool.recordSent(a.req)
 	targetReq := a.buildRequest(info)
 	res, err := c.roundTrip(targetReq)
 	for stale := 0; err == nil; stale++ {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -88,7 +88,7 @@
 // first, a retry.
 func (c *callHandler) startAttempt(ctx context.Context, reason string) bool {
 	now := time.Now()
-	t, load, ok := c.req.pool.chooseTarget(now, c.relay.DataCentre, targetCriteria{avoidTargets: c.triedTargets, requestID: c.req.ID, firstAttempt: len(c.triedTargets) == 0})
+	t, load, ok := c.req.pool.chooseTarget(now, c.relay.DataCentre, targetCriteria{avoidTargets: c.triedTargets, firstAttempt: len(c.triedTargets) == 0})
 	if !ok {
 		return false
 	}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -49,6 +49,8 @@
 	// needsNewConn is set when an attempt is silent, or was lost on a kept connection that brought nothing: other kept
 	// connections may be lost as well, which only shows when they are used.
 	needsNewConn atomic.Bool
+	// sent is set when an attempt of the request has been sent.
+	sent atomic.Bool
 	// disableInterrupt lets the request go on after the time at which a stop interrupts requests.
 	disableInterrupt func() bool
 }
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -67,7 +67,6 @@
 // chooseTarget returns a target, if possible the engine that holds a copy of the run's KV cache, or
 // nil if there is none.
 func (st *streamHandler) chooseTarget(now time.Time, criteria targetCriteria) *reservation {
-	criteria.requestID = st.req.ID
 	if st.backupEngine.IsValid() && st.gen.Position > 0 {
 		if t, ok := st.req.pool.targetAt(now, st.backupEngine); ok {
 			criteria.preferredTarget = t.ID
@@ -86,7 +85,7 @@
 	if !st.req.pool.copiesKVCache() || !st.req.route.AllowsRerun() {
 		return route.Target{}, false
 	}
-	b, _, ok := st.req.pool.chooseTarget(now, t.DataCentre, targetCriteria{avoidTargets: []string{t.ID}, avoidDataCentre: t.DataCentre, requestID: st.req.ID, sendsNothing: true})
+	b, _, ok := st.req.pool.chooseTarget(now, t.DataCentre, targetCriteria{avoidTargets: []string{t.ID}, avoidDataCentre: t.DataCentre, sendsNothing: true})
 	return b, ok && b.ID != t.ID
 }
 
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -55,7 +55,8 @@
 	mu    sync.RWMutex
 	pools map[string]*pool
 	// splits divide the requests of pools between versions.
-	splits map[string]version.Split
+	splits     map[string]version.Split
+	allowances map[string]changeAllowance
 	// progressChanged signals that the requests which this instance has in progress at engines have
 	// changed.
 	progressChanged chan struct{}
@@ -98,6 +99,7 @@
 	turn            int64
 	turnRank        int
 	split           version.Split
+	allowance       *version.Allowance
 	progressChanged chan struct{}
 	// removedAt is when the table no longer had the pool, or zero; the registry's lock guards it.
 	removedAt time.Time
@@ -115,7 +117,7 @@
 		p := old[name]
 		if p == nil {
 			p = r.newPool()
-			p.split = r.splits[name]
+			p.split, p.allowance = r.splits[name], r.allowances[name].Allowance
 		}
 		conf, _ := table.Pool(name)
 		p.update(now, conf, targets[name])
@@ -221,8 +223,7 @@
 	avoidDataCentre string
 	// sendsNothing is set if the target will get no request, so that none counts there or against its limit.
 	sendsNothing bool
-	// requestID and firstAttempt decide which version may be used while a pool's version changes.
-	requestID    string
+	// firstAttempt is set for the first attempt of a request, which the new version may get while a pool's version changes.
 	firstAttempt bool
 }
 
@@ -258,6 +259,7 @@
 				p.limits.Take(now, t, p.instanceCount())
 				p.refusalLimits.Take(now, t, load)
 				p.enginePool.RecordSent(now, t.ID, nil)
+				p.recordVersionChoice(now, criteria, t)
 				p.notifyProgressChanged()
 			}
 			return t, load, true
--- a/internal/relay/versions.go
+++ b/internal/relay/versions.go
@@ -18,13 +18,37 @@
 		r.splits = map[string]version.Split{}
 	}
 	r.splits[name] = s
+	if a := r.allowances[name]; a.Allowance == nil || a.change != s.Change {
+		if r.allowances == nil {
+			r.allowances = map[string]changeAllowance{}
+		}
+		r.allowances[name] = changeAllowance{change: s.Change, Allowance: version.NewAllowance(s.Limit, s.Change^r.Seed)}
+	}
 	if p := r.pools[name]; p != nil {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.split = s
+		p.split, p.allowance = s, r.allowances[name].Allowance
 	}
 }
 
+// changeAllowance is the allowance for the new version of a change.
+type changeAllowance struct {
+	*version.Allowance
+	change uint64
+}
+
+// Exposure returns how many requests this instance has sent to a pool since the split was set for its present change,
+// and for how many it has chosen the new version.
+func (r *TargetRegistry) Exposure(name string) (sent, exposed float64) {
+	r.mu.RLock()
+	a := r.allowances[name]
+	r.mu.RUnlock()
+	if a.Allowance == nil {
+		return 0, 0
+	}
+	return a.Counts()
+}
+
 // OpenSlots returns the slots of a pool's open targets by version.
 func (r *TargetRegistry) OpenSlots(now time.Time, name string) map[string]int {
 	out := map[string]int{}
@@ -42,15 +66,15 @@
 	return out
 }
 
-// RequestRate returns how many requests a second all instances get for a pool.
+// RequestRate returns how many requests a second this instance gets for a pool.
 func (r *TargetRegistry) RequestRate(now time.Time, name string) float64 {
 	p := r.pool(name)
-	if p == nil || r.RetryWindow <= 0 {
+	if p == nil {
 		return 0
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return float64(p.retryBudget.TotalCounts(now).Requests) / r.RetryWindow.Seconds()
+	return p.retryBudget.RequestRate(now)
 }
 
 // withVersion restricts a filter to the versions that an attempt may use; the caller holds mu.
@@ -60,10 +84,29 @@
 	if p.split.Change == 0 {
 		return passes
 	}
-	usesNew := p.split.UsesNew(criteria.requestID, criteria.firstAttempt) && p.hasOpenVersion(now, criteria.avoidTargets)
+	usesNew := p.split.UsesNew(now, p.allowance, criteria.firstAttempt) && p.hasOpenVersion(now, criteria.avoidTargets)
 	return func(t *route.Target) bool { return p.split.Allows(t.Version, usesNew) && passes(t) }
 }
 
+// recordVersionChoice records the choice of a target for an attempt while the pool's version changes; the caller holds mu.
+func (p *pool) recordVersionChoice(now time.Time, criteria targetCriteria, t route.Target) {
+	if p.split.Change != 0 {
+		p.allowance.Choose(p.split.ShareAt(now), criteria.firstAttempt, t.Version == p.split.Version)
+	}
+}
+
+// recordSent counts a request that is sent to a target, once for all its attempts.
+func (p *pool) recordSent(req *callerRequest) {
+	if req.sent.Swap(true) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.split.Change != 0 {
+		p.allowance.CountSent()
+	}
+}
+
 // hasOpenVersion reports whether a target of the new version is open; the caller holds mu.
 func (p *pool) hasOpenVersion(now time.Time, avoid []string) bool {
 	for i := range p.targets {
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -32,16 +33,38 @@
 	SetSplit(pool string, s version.Split)
 	// OpenSlots returns the slots of a pool's open targets by version.
 	OpenSlots(now time.Time, pool string) map[string]int
-	// RequestRate returns how many requests a second all instances get for a pool.
+	// RequestRate returns how many requests a second this instance gets for a pool.
 	RequestRate(now time.Time, pool string) float64
+	// Exposure returns how many requests this instance has sent to a pool during its present change, and for how many
+	// it has chosen the new version.
+	Exposure(pool string) (sent, exposed float64)
+}
+
+// Messenger sends messages to other instances; they may be lost.
+type Messenger interface {
+	// SendEvidence sends differences to a candidate of the former format, SendReport a report to one of the present
+	// format, and SendConfirmation the answer to a report.
+	SendEvidence(data []byte, to netip.AddrPort)
+	SendReport(data []byte, to netip.AddrPort)
+	SendConfirmation(data []byte, to netip.AddrPort)
+}
+
+// Candidate is another instance that gets evidence.
+type Candidate struct {
+	Address netip.AddrPort
+	// Format is the latest format of evidence that it reads.
+	Format int
 }
 
 // Controller takes part in the changes of version; set its exported fields before the first call.
 type Controller struct {
 	Instance string
-	Store    Store
-	Pools    Pools
-	Log      *timeline.Writer
+	// Address and Incarnation identify this process in messages.
+	Address     netip.AddrPort
+	Incarnation int64
+	Store       Store
+	Pools       Pools
+	Log         *timeline.Writer
 	// DecodeOrder decodes an operator's order, and EncodeStatus returns the key and the value that report a
 	// change's state to the operator.
 	DecodeOrder  func(key string, data []byte) (Order, error)
@@ -52,12 +75,23 @@
 	RecordPrefix string
 	DeciderKey   string
 	Exposure     version.ExposureLimit
-	// IsCandidate reports whether this instance may decide, and SendEvidence sends reports to the candidates.
-	IsCandidate  func() bool
-	SendEvidence func(data []byte)
+	// IsCandidate reports whether this instance may decide while there are others, and Candidates returns the others
+	// that may, with the named decider.
+	IsCandidate func() bool
+	Candidates  func(decider string) []Candidate
+	// Place returns the number of instances, and this one's place in an order on which they agree, from 0, or -1 if it
+	// is not listed.
+	Place     func() (n, rank int)
+	Messenger Messenger
 
 	mu    sync.Mutex
 	pools map[string]*poolState
+	// startedAt is the time from which reports count, heardAt is when another instance's evidence was last received.
+	startedAt time.Time
+	heardAt   time.Time
+	// decider is the instance that holds DeciderKey, or empty, and deciderMissing since when a change has none.
+	decider        string
+	deciderMissing time.Time
 	// versions holds the store's version of the records' keys and of DeciderKey; a key that does not exist is
 	// not listed.
 	versions   map[string]feed.Version
@@ -74,15 +108,31 @@
 	orderSeen time.Time
 	record    *record
 	counter   *version.Counter
-	// counting is the change that the counter counts for.
-	counting uint64
-	// change is the change as a candidate sees it.
-	change *version.Change
+	// counting is the change that the counter counts for, and counted what it has counted since countingSince, which was
+	// last reported at reportedAt.
+	counting      uint64
+	countingSince time.Time
+	counted       version.Report
+	reportedAt    time.Time
+	// seenUnstarted is set if this instance knew of the order before its change began, so that no earlier process of
+	// the instance has sent requests to the version.
+	seenUnstarted bool
+	// confirmedAt is when the share was last confirmed; markedBad ends it.
+	confirmedAt time.Time
+	markedBad   bool
+	// change is the change as a candidate sees it, heard the reports for it, and trackedAt when this instance began to
+	// follow it.
+	change    *version.Change
+	heard     map[senderID]*heardReport
+	trackedAt time.Time
 	// resume is set when another decider has written the record since the last step of change.
 	resume bool
 	// dirty is set when the store lacks the record.
-	dirty bool
-	split version.Split
+	dirty       bool
+	split       version.Split
+	loggedShare float64
+	// limit is this instance's part of the exposure limit for the present change.
+	limit version.ExposureLimit
 }
 
 func (c *Controller) pool(name string) *poolState {
@@ -129,7 +179,7 @@
 			}
 		}
 	}
-	c.publish()
+	c.publish(now)
 	if len(c.pendingPools()) > 0 {
 		select {
 		case c.changedSignal() <- struct{}{}:
@@ -158,18 +208,29 @@
 			c.Log.Write(now, timeline.Event{Kind: "rollout_record_unusable", Entry: it.Key, Revision: it.Revision, Why: err.Error()})
 			return
 		}
-		p := c.pool(r.Order.Pool)
-		if r.later(p.record) {
-			c.logRecord(now, r)
-			p.record, p.dirty = r, false
-			if p.change != nil && p.change.Plan.ID == r.Change.ID {
-				p.change.Record, p.resume = r.Change, true
-			}
-		} else if p.record.later(r) {
-			p.dirty = true
-		}
+		c.applyRecord(now, r)
 	case it.Key == c.DeciderKey:
-		c.versions[it.Key] = at
+		c.versions[it.Key], c.decider = at, string(it.Value)
+	}
+}
+
+func (c *Controller) applyRecord(now time.Time, r *record) {
+	p := c.pool(r.Order.Pool)
+	if !r.later(p.record) {
+		p.dirty = p.dirty || p.record.later(r)
+		return
+	}
+	c.logRecord(now, r)
+	if p.record == nil || p.record.Change.ID != r.Change.ID {
+		p.markedBad = false
+	}
+	p.record, p.dirty = r, false
+	if p.change != nil && p.change.Plan.ID == r.Change.ID {
+		p.change.Adopt(r.Change)
+	}
+	if !r.Confirmed {
+		// A decider of the former format confirms nothing else.
+		p.confirm(now)
 	}
 }
 
@@ -183,13 +244,17 @@
 		return
 	}
 	p := c.pool(o.Pool)
+	c.setOrder(now, p, o, at)
+}
+
+func (c *Controller) setOrder(now time.Time, p *poolState, o Order, at feed.Version) {
 	if p.order == nil || *p.order != o || p.orderAt != at {
 		if p.order == nil || *p.order != o || p.orderAt.Era == at.Era {
-			p.orderSeen = now
+			p.orderSeen, p.seenUnstarted = now, false
 		}
 		c.Log.Write(now, timeline.Event{
-			Kind: "rollout_ordered", Entry: o.Pool, Version: o.Version, Revision: it.Revision,
-			Inputs: []timeline.Input{{Name: "interval_ms", Value: o.Interval.Milliseconds()}, {Name: "era", Value: it.Era}},
+			Kind: "rollout_ordered", Entry: o.Pool, Version: o.Version, Revision: at.Revision,
+			Inputs: []timeline.Input{{Name: "interval_ms", Value: o.Interval.Milliseconds()}, {Name: "era", Value: at.Era}},
 		})
 	}
 	p.order, p.orderAt = &o, at
@@ -197,6 +262,9 @@
 
 func (c *Controller) applyRemoval(now time.Time, key string) {
 	delete(c.versions, key)
+	if key == c.DeciderKey {
+		c.decider = ""
+	}
 	if p := c.pools[strings.TrimPrefix(key, c.RecordPrefix)]; strings.HasPrefix(key, c.RecordPrefix) && p != nil {
 		p.dirty = p.record != nil
 	}
@@ -213,17 +281,24 @@
 }
 
 // publish divides the requests of all pools as the orders and records say; the caller holds mu.
-func (c *Controller) publish() {
+func (c *Controller) publish(now time.Time) {
 	for name, p := range c.pools {
+		if p.order != nil && (p.record == nil || !p.record.covers(*p.order, p.orderAt)) {
+			p.seenUnstarted = true
+		}
 		split := p.currentSplit()
 		if split.Change != 0 && p.counting != split.Change {
-			p.counting = split.Change
+			p.counting, p.countingSince = split.Change, now
 			p.counter.SetPlan(version.Plan{ID: split.Change, From: formerVersion, To: split.Version})
+			n, rank := c.Place()
+			p.limit = c.Exposure.Part(n, rank, p.seenUnstarted || p.record.Change.State == version.Waiting)
 		}
+		split.Limit = p.limit
 		if !sameSplit(split, p.split) {
 			p.split = split
 			c.Pools.SetSplit(name, split)
 		}
+		c.logShare(now, name, p)
 	}
 }
 
@@ -232,9 +307,20 @@
 func (p *poolState) currentSplit() version.Split {
 	switch {
 	case p.record != nil && (p.order == nil || p.record.covers(*p.order, p.orderAt)):
-		return p.record.split()
+		s := p.record.split()
+		if p.record.state() != Running {
+			return s
+		}
+		s.Limited, s.Until = true, p.confirmedAt.Add(confirmTimeout)
+		if p.markedBad {
+			s.Share = 0
+		}
+		if p.order != nil && p.order.Interval > 0 && s.Until.After(p.orderSeen.Add(p.order.Interval)) {
+			s.Until = p.orderSeen.Add(p.order.Interval)
+		}
+		return s
 	case p.order != nil:
-		s := version.Split{Change: p.order.changeID(0), Version: p.order.Version}
+		s := version.Split{Change: p.order.changeID(0), Version: p.order.Version, Limited: true}
 		if p.record != nil {
 			s.Barred = p.record.barredAfter(*p.order)
 		}
@@ -244,7 +330,27 @@
 }
 
 func sameSplit(a, b version.Split) bool {
-	return a.Change == b.Change && a.Version == b.Version && a.Share == b.Share && strings.Join(a.Barred, ",") == strings.Join(b.Barred, ",")
+	return a.Change == b.Change && a.Version == b.Version && a.Share == b.Share && a.Until.Equal(b.Until) && a.Limited == b.Limited && a.Limit == b.Limit && strings.Join(a.Barred, ",") == strings.Join(b.Barred, ",")
+}
+
+// logShare logs that the share in force at this instance has changed, also because it was not confirmed.
+func (c *Controller) logShare(now time.Time, name string, p *poolState) {
+	share := p.split.ShareAt(now)
+	if share == p.loggedShare {
+		return
+	}
+	sent, exposed := c.Pools.Exposure(name)
+	c.Log.Write(now, timeline.Event{
+		Kind: "rollout_share", Entry: name, Version: p.split.Version,
+		Inputs: []timeline.Input{
+			{Name: "share_ppm", Value: int64(share * 1e6)},
+			{Name: "former_ppm", Value: int64(p.loggedShare * 1e6)},
+			{Name: "confirmed_ms", Value: now.Sub(p.confirmedAt).Milliseconds()},
+			{Name: "sent", Value: int64(sent)},
+			{Name: "exposed", Value: int64(exposed)},
+		},
+	})
+	p.loggedShare = share
 }
 
 func (c *Controller) logRecord(now time.Time, r *record) {
--- a/internal/rollout/decider.go
+++ b/internal/rollout/decider.go
@@ -20,6 +20,10 @@
 	callTimeout = 500 * time.Millisecond
 	// retryInterval is the time after a failed call or a conflict until the next try.
 	retryInterval = 400 * time.Millisecond
+	// deafTime is how long a decider goes on without evidence of another instance, and deafRetryInterval the time until
+	// it tries again, in which another one may begin.
+	deafTime          = 2 * time.Second
+	deafRetryInterval = time.Second
 	// summaryInterval is the time after which the counts of an undecided change are written.
 	summaryInterval = 2 * time.Second
 )
@@ -32,6 +36,7 @@
 	renewedAt time.Time
 	// version is the version of DeciderKey, on which all writes depend.
 	version feed.Version
+	begunAt time.Time
 	retryAt time.Time
 }
 
@@ -41,7 +46,14 @@
 	c.mu.Lock()
 	current, exists := c.versions[c.DeciderKey]
 	lost := l.ID != 0 && (c.restoredAt.After(l.renewedAt) || exists && current != l.version)
+	deaf := l.ID != 0 && c.isDeaf(now)
 	c.mu.Unlock()
+	if deaf {
+		c.Log.Write(now, timeline.Event{Kind: "decider_ended", Why: "no_evidence_of_others", Decision: "resign"})
+		c.resign()
+		l.retryAt = now.Add(deafRetryInterval)
+		return false
+	}
 	if lost || !l.until.IsZero() && !now.Before(l.until) {
 		*l = leaseState{retryAt: now.Add(retryInterval)}
 	}
@@ -63,6 +75,13 @@
 	return c.acquireLease(ctx, now)
 }
 
+// isDeaf reports whether a decider hears no other instance though there are some, as when it is cut off; the caller
+// holds mu.
+func (c *Controller) isDeaf(now time.Time) bool {
+	n, _ := c.Place()
+	return n > 1 && now.Sub(c.heardAt) > deafTime && now.Sub(c.lease.begunAt) > deafTime
+}
+
 func (c *Controller) renewLease(ctx context.Context, now time.Time) bool {
 	l := &c.lease
 	err := c.Store.Renew(ctx, l.Lease)
@@ -87,9 +106,9 @@
 		l.retryAt = now.Add(retryInterval)
 		return false
 	}
-	*l = leaseState{Lease: lease, until: now.Add(leaseTTL), renewedAt: now, version: at}
+	*l = leaseState{Lease: lease, until: now.Add(leaseTTL), renewedAt: now, version: at, begunAt: now}
 	c.mu.Lock()
-	c.versions[c.DeciderKey] = at
+	c.versions[c.DeciderKey], c.decider = at, c.Instance
 	c.mu.Unlock()
 	c.Log.Write(now, timeline.Event{Kind: "decider_began", Decision: "decide", Inputs: []timeline.Input{{Name: "fence", Value: at.Revision}}})
 	return true
@@ -112,7 +131,7 @@
 func (c *Controller) decide(ctx context.Context, now time.Time, name string) bool {
 	c.mu.Lock()
 	p := c.pools[name]
-	if p.order != nil && p.change != nil && !p.finished() {
+	if p.order != nil && p.change != nil && !p.finished() && p.tracks(now) {
 		c.stepChange(now, name, p)
 	} else if p.order == nil && p.record != nil && p.record.state() == Running {
 		p.withdraw(now)
@@ -124,6 +143,7 @@
 	key := c.RecordPrefix + name
 	r := *p.record
 	r.Change.Decider, r.Change.Fence = c.Instance, c.lease.version.Revision
+	r.Confirmed = true
 	conditions := []feed.Condition{{Key: c.DeciderKey, Revision: c.lease.version.Revision}, {Key: key, Revision: c.versions[key].Revision}}
 	c.mu.Unlock()
 	statusKey, status := c.EncodeStatus(r.Order, r.state())
@@ -138,9 +158,10 @@
 		c.applyConflict(now, key, err)
 		return false
 	}
-	c.versions[key], p.dirty = at, false
+	c.versions[key], p.dirty, p.record.unsaved = at, false, false
+	p.record.Confirmed = true
 	c.logRecord(now, &r)
-	c.publish()
+	c.publish(now)
 	return true
 }
 
@@ -161,22 +182,22 @@
 
 // stepChange takes the steps of a change; the caller holds mu.
 func (c *Controller) stepChange(now time.Time, name string, p *poolState) {
-	if p.resume {
-		p.change.ResumeFrom(p.record.Change)
-		p.resume = false
-	}
+	c.planShares(now, p)
 	events := []version.Event{
 		{Kind: version.CapacityChanged, Capacity: capacity(c.Pools.OpenSlots(now, name), p.order.Version)},
 		{Kind: version.Ticked},
 	}
+	if p.markedBad {
+		events = append([]version.Event{{Kind: version.MarkedBad, Why: "marked_bad"}}, events...)
+	}
 	for _, ev := range events {
 		if len(p.change.Step(now, ev)) > 0 {
 			p.dirty = true
 		}
 	}
 	r := &p.change.Record
-	exposed, total := float64(r.New.Requests), float64(r.New.Requests+r.Old.Requests)
-	capped := r.State == version.Trial && c.Exposure.Exhausted(exposed, total)
+	sent, exposed := p.exposure()
+	capped := !r.Finished() && c.Exposure.Exhausted(exposed, sent)
 	if capped != p.record.Capped || now.Sub(p.record.Updated) >= summaryInterval && r.New.Requests != p.record.Change.New.Requests {
 		p.dirty = true
 	}
--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"maps"
 	"math/rand/v2"
+	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -40,6 +42,10 @@
 	revision int64
 	era      int64
 	down     bool
+	// lossRate is the share of the messages between instances that are lost.
+	lossRate float64
+	// noDecider is set if no instance may decide.
+	noDecider bool
 	// loseAnswers makes the store execute calls without an answer.
 	loseAnswers bool
 	// slots holds the open slots by pool and version.
@@ -48,6 +54,8 @@
 	result func(version, route string, since time.Duration) (failed bool, took time.Duration)
 	rate   float64
 	sent   map[string]int
+	// messages are those on their way between instances.
+	messages []func()
 	// badAt holds when the new version gave each bad answer, and lastNewAt when it last got a request.
 	badAt     []time.Time
 	lastNewAt time.Time
@@ -60,10 +68,14 @@
 	*Controller
 	fleet *fleet
 	index int
-	// dead instances do nothing; cut ones neither reach the store nor get its updates.
-	dead, cut bool
-	splits    map[string]version.Split
-	queue     []feed.Update
+	// dead instances do nothing; cut ones neither reach the store nor get its updates, and deaf ones get no messages of
+	// others. Frozen ones do nothing until they are not any more.
+	dead, cut, deaf, frozen bool
+	splits                  map[string]version.Split
+	allowances              map[string]*version.Allowance
+	changes                 map[string]uint64
+	queue                   []feed.Update
+	diedAt, nextStep        time.Time
 }
 
 func newFleet(t *testing.T, seed uint64, n int, rate float64) *fleet {
@@ -78,53 +90,124 @@
 }
 
 func (f *fleet) newMember(i int) *member {
-	m := &member{fleet: f, index: i, splits: map[string]version.Split{}}
+	m := &member{fleet: f, index: i, splits: map[string]version.Split{}, allowances: map[string]*version.Allowance{}, changes: map[string]uint64{}}
 	m.Controller = &Controller{
-		Instance: "i" + strconv.Itoa(i), Store: m, Pools: m, OrderPrefix: "orders/", RecordPrefix: "records/", DeciderKey: "decider",
+		Instance: "i" + strconv.Itoa(i), Address: testAddress(i), Incarnation: f.now.UnixNano() + int64(i),
+		Store: m, Pools: m, OrderPrefix: "orders/", RecordPrefix: "records/", DeciderKey: "decider",
 		Exposure:    version.ExposureLimit{Share: exposeShare, Slack: badVersionSlack},
 		DecodeOrder: decodeTestOrder,
 		EncodeStatus: func(o Order, s State) (string, []byte) {
 			return "status/" + o.Pool, []byte(string(s) + " " + o.Version)
 		},
-		IsCandidate: func() bool { return f.candidates()[0] == i || f.candidates()[1] == i },
-		SendEvidence: func(data []byte) {
-			for _, c := range f.candidates() {
-				if c != i && !f.members[c].dead {
-					f.members[c].HandleEvidence(f.now, data)
+		IsCandidate: func() bool { return slices.Contains(f.candidates(), i) },
+		Candidates: func(decider string) (list []Candidate) {
+			for _, other := range f.members {
+				if other.index != i && (slices.Contains(f.candidates(), other.index) || other.Instance == decider) {
+					list = append(list, Candidate{Address: testAddress(other.index), Format: EvidenceFormat})
 				}
 			}
+			return list
 		},
+		Place: func() (n, rank int) {
+			if f.noDecider {
+				return len(f.members), -1
+			}
+			return len(f.members), i
+		},
+		Messenger: m,
 	}
 	return m
 }
 
+func testAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7200)
+}
+
+// deliver passes a message to another instance unless it is lost.
+func (m *member) deliver(to netip.AddrPort, handle func(c *Controller)) {
+	f := m.fleet
+	other := f.members[to.Addr().As4()[3]]
+	if other.dead || other.frozen || other.deaf || m.deaf || f.rng.Float64() < f.lossRate {
+		return
+	}
+	f.messages = append(f.messages, func() { handle(other.Controller) })
+}
+
+func (m *member) SendEvidence(data []byte, to netip.AddrPort) {
+	m.deliver(to, func(c *Controller) { c.HandleEvidence(m.fleet.now, data) })
+}
+
+func (m *member) SendReport(data []byte, to netip.AddrPort) {
+	m.deliver(to, func(c *Controller) { c.HandleReport(m.fleet.now, data) })
+}
+
+func (m *member) SendConfirmation(data []byte, to netip.AddrPort) {
+	m.deliver(to, func(c *Controller) { c.HandleConfirmation(m.fleet.now, data) })
+}
+
 func decodeTestOrder(_ string, data []byte) (Order, error) {
 	o := Order{}
 	err := json.Unmarshal(data, &o)
 	return o, err
 }
 
-// candidates returns the first two instances that are alive.
-func (f *fleet) candidates() [2]int {
-	out, n := [2]int{-1, -1}, 0
+// candidates returns the first two instances that are listed; dead ones are unlisted after memberTTL.
+func (f *fleet) candidates() []int {
+	var list []int
+	if f.noDecider {
+		return nil
+	}
 	for _, m := range f.members {
-		if !m.dead && n < 2 {
-			out[n] = m.index
-			n++
+		if (!m.dead || f.now.Sub(m.diedAt) < memberTTL) && len(list) < 2 {
+			list = append(list, m.index)
 		}
 	}
-	return out
+	return list
+}
+
+// memberTTL is how long an instance stays listed after its death.
+const memberTTL = 30 * time.Second
+
+// kill ends an instance.
+func (m *member) kill() { m.dead, m.diedAt = true, m.fleet.now }
+
+// restart replaces an instance's process by a new one, which reads the store.
+func (f *fleet) restart(i int) {
+	f.members[i] = f.newMember(i)
+	f.members[i].readStore()
+}
+
+func (m *member) readStore() {
+	update := feed.Update{Full: true, Revision: m.fleet.revision, Era: m.fleet.era}
+	for _, it := range m.fleet.items {
+		update.Changed = append(update.Changed, it)
+	}
+	m.queue = []feed.Update{update}
+}
+
+func (m *member) SetSplit(pool string, s version.Split) {
+	m.splits[pool] = s
+	if m.allowances[pool] == nil || m.changes[pool] != s.Change {
+		m.allowances[pool], m.changes[pool] = version.NewAllowance(s.Limit, m.fleet.rng.Uint64()), s.Change
+	}
 }
 
-func (m *member) SetSplit(pool string, s version.Split) { m.splits[pool] = s }
+func (m *member) Exposure(pool string) (sent, exposed float64) {
+	if m.allowances[pool] == nil {
+		return 0, 0
+	}
+	return m.allowances[pool].Counts()
+}
 
 func (m *member) OpenSlots(_ time.Time, pool string) map[string]int { return m.fleet.slots[pool] }
 
-func (m *member) RequestRate(time.Time, string) float64 { return m.fleet.rate }
+func (m *member) RequestRate(time.Time, string) float64 {
+	return m.fleet.rate / float64(len(m.fleet.members))
+}
 
 func (m *member) Grant(_ context.Context, ttl time.Duration) (feed.Lease, error) {
 	f := m.fleet
-	if f.down || m.cut {
+	if f.down || m.cut || f.noDecider {
 		return feed.Lease{}, context.DeadlineExceeded
 	}
 	f.revision++
@@ -264,7 +347,7 @@
 			}
 		}
 		for _, m := range f.members {
-			if !m.dead && !m.cut && !f.down {
+			if !m.dead && !m.frozen && !m.cut && !f.down {
 				for _, u := range m.queue {
 					m.Apply(f.now, u)
 				}
@@ -272,29 +355,43 @@
 			}
 		}
 		f.sendTraffic()
-		if f.now.Sub(t0)%stepInterval == 0 {
-			for _, m := range f.members {
-				if !m.dead {
-					m.Step(context.Background(), f.now)
-				}
+		for _, m := range f.members {
+			if !m.dead && !m.frozen && !f.now.Before(m.nextStep) {
+				m.Step(context.Background(), f.now)
+				m.nextStep = f.now.Add(m.stepDelay(f.now))
 			}
 		}
+		f.deliverMessages()
+	}
+}
+
+// deliverMessages delivers the messages that were on their way at the call; answers follow with the next call.
+func (f *fleet) deliverMessages() {
+	list := f.messages
+	f.messages = nil
+	for _, deliver := range list {
+		deliver()
 	}
 }
 
 func (f *fleet) sendTraffic() {
 	for n := f.rate * tickTime.Seconds(); n > 0; n-- {
 		m := f.members[f.rng.IntN(len(f.members))]
-		if m.dead || n < 1 && f.rng.Float64() > n {
+		if m.dead || m.frozen || n < 1 && f.rng.Float64() > n {
 			continue
 		}
-		s := m.splits[testPool]
+		s, a := m.splits[testPool], m.allowances[testPool]
 		v := "v1"
-		if s.UsesNew(strconv.FormatUint(f.rng.Uint64(), 36), true) && f.slots[testPool][s.Version] > 0 {
+		usesNew := s.Change != 0 && s.UsesNew(f.now, a, true) && f.slots[testPool][s.Version] > 0
+		if usesNew {
 			v = s.Version
 		} else if s.Version == "v1" {
 			v = "v0"
 		}
+		if s.Change != 0 {
+			a.Choose(s.ShareAt(f.now), true, usesNew)
+			a.CountSent()
+		}
 		route := "r" + strconv.Itoa(f.rng.IntN(3))
 		failed, took := f.result(v, route, f.now.Sub(f.orderedAt))
 		f.sent[v]++
@@ -317,13 +414,18 @@
 
 // requireExposureWithinBounds checks the bounds for a bad version.
 func (f *fleet) requireExposureWithinBounds(before int) {
-	total := f.sent["v1"] + f.sent["v2"] - before
-	require.LessOrEqual(f.t, float64(f.sent["v2"]), exposeShare*float64(total)+badVersionSlack)
+	f.requireVersionExposureWithinBounds("v2", before)
 	if len(f.badAt) >= badAnswers {
 		require.False(f.t, f.lastNewAt.After(f.badAt[badAnswers-1].Add(rollbackTime)))
 	}
 }
 
+// requireVersionExposureWithinBounds checks how many requests a bad version got, of all since before.
+func (f *fleet) requireVersionExposureWithinBounds(version string, before int) {
+	total := f.sent["v1"] + f.sent[version] - before
+	require.LessOrEqual(f.t, float64(f.sent[version]), exposeShare*float64(total)+badVersionSlack)
+}
+
 func (f *fleet) lastStatus() string {
 	if len(f.statuses) == 0 {
 		return ""
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -11,13 +11,6 @@
 const (
 	// maxInterval bounds the time that an order allows, so that a malformed one does not pend for ever.
 	maxInterval = 24 * time.Hour
-	// settleTime is the time between the last request to the old version and the report that the change
-	// succeeded, at which the old targets stop: short calls take less.
-	settleTime = 2 * time.Second
-	// settleReserve is the part of the interval that is reserved for settling and for a slow store, and
-	// settleDivisor limits it to a part of a short interval.
-	settleReserve = settleTime + settleTime/2
-	settleDivisor = 4
 )
 
 // Order is an operator's order to move the traffic of a pool to a version within an interval.
@@ -61,9 +54,6 @@
 	return max(h.Sum64(), 1)
 }
 
-// settle returns the part of the interval that is reserved for settling.
-func (o *Order) settle() time.Duration { return min(settleReserve, o.Interval/settleDivisor) }
-
 // State is the state of a change as the operator sees it.
 type State string
 
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -20,10 +20,17 @@
 	Change        version.Record `json:"change"`
 	// Updated is when the record was last changed.
 	Updated time.Time `json:"updated"`
+	// Confirmed is set if the deciding instance confirms the share to each instance whose reports it gets.
+	Confirmed bool `json:"confirmed,omitempty"`
+	// Ends is when the interval of the order ends, by the clock of the instance that began the change.
+	Ends time.Time `json:"ends,omitzero"`
 	// Capped is set while the version gets no requests because its exposure limit is used up.
 	Capped bool `json:"capped,omitempty"`
 	// Barred lists the versions of former changes that were rolled back.
 	Barred []string `json:"barred,omitempty"`
+
+	// unsaved is set until this record, which this instance began, or a later one is known to be in the store.
+	unsaved bool
 }
 
 func decodeRecord(data []byte) (*record, error) {
@@ -80,6 +87,9 @@
 	if r.Number != other.Number {
 		return r.Number > other.Number
 	}
+	if r.unsaved != other.unsaved {
+		return other.unsaved
+	}
 	return r.Updated.After(other.Updated)
 }
 
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -32,11 +32,12 @@
 		"calm": func(*fleet) {},
 		"decider killed": func(f *fleet) {
 			f.run(3 * time.Second)
-			f.members[0].dead = true
+			f.members[0].kill()
 		},
 		"both candidates killed": func(f *fleet) {
 			f.run(3 * time.Second)
-			f.members[0].dead, f.members[1].dead = true, true
+			f.members[0].kill()
+			f.members[1].kill()
 		},
 		"decider cut off from the store": func(f *fleet) {
 			f.run(3 * time.Second)
@@ -129,7 +130,7 @@
 // Guards against a bad version that is forgotten or promoted because what decides fails.
 func TestBadVersionIsRolledBackUnderFailure(t *testing.T) {
 	for name, disturb := range map[string]func(f *fleet){
-		"decider killed":                 func(f *fleet) { f.members[0].dead = true },
+		"decider killed":                 func(f *fleet) { f.members[0].kill() },
 		"decider cut off from the store": func(f *fleet) { f.members[0].cut = true },
 		"store down for 3 s": func(f *fleet) {
 			f.down = true
@@ -182,11 +183,17 @@
 	f := newFleet(t, 6, 8, 120)
 	f.result = func(string, string, time.Duration) (bool, time.Duration) { return f.good() }
 	f.slots[testPool]["v2"] = 30
-	f.order(testPool, "v2", testInterval)
 	for _, m := range f.members {
 		m.cut = m.index < 2
 	}
-	f.run(3 * time.Second)
+	f.order(testPool, "v2", testInterval)
+	f.run(tickTime)
+	for _, m := range f.members {
+		p := m.pools[testPool]
+		require.Equal(t, m.index >= 2, p != nil && p.order != nil)
+		m.cut = true
+	}
+	f.run(5 * time.Second)
 	require.Zero(t, f.sent["v2"])
 }
 
--- a/pkg/booking/sharedbudget.go
+++ b/pkg/booking/sharedbudget.go
@@ -35,6 +35,8 @@
 	// currentSlice is the number of the slice that is counted now.
 	currentSlice int64
 	remote       map[string]remoteCounts
+	// startedAt is when the first request was counted here.
+	startedAt time.Time
 }
 
 // remoteCounts are the counts last received from another instance.
@@ -44,7 +46,25 @@
 }
 
 // RecordRequest counts the first attempt of a request.
-func (b *SharedRetryBudget) RecordRequest(now time.Time) { b.currentCounts(now).Requests++ }
+func (b *SharedRetryBudget) RecordRequest(now time.Time) {
+	if b.startedAt.IsZero() {
+		b.startedAt = now
+	}
+	b.currentCounts(now).Requests++
+}
+
+// minRateTime is the least time over which RequestRate averages.
+const minRateTime = time.Second
+
+// RequestRate returns how many requests a second this instance gets. It averages over the part of the window in which
+// it has counted.
+func (b *SharedRetryBudget) RequestRate(now time.Time) float64 {
+	counted := min(max(now.Sub(b.startedAt), minRateTime), b.Window)
+	if b.startedAt.IsZero() || counted <= 0 {
+		return 0
+	}
+	return float64(b.LocalCounts(now).Requests) / counted.Seconds()
+}
 
 // AllowRetry consumes one retry from the budget and reports whether one was available.
 func (b *SharedRetryBudget) AllowRetry(now time.Time, instances int) bool {
@@ -73,11 +93,6 @@
 	return sum
 }
 
-// TotalCounts returns the counts of all instances within the window, as far as they are known.
-func (b *SharedRetryBudget) TotalCounts(now time.Time) SendCounts {
-	return b.totalCounts(now, b.LocalCounts(now))
-}
-
 // SetRemoteCounts stores the counts received from another instance.
 func (b *SharedRetryBudget) SetRemoteCounts(now time.Time, instance string, counts SendCounts) {
 	if b.remote == nil {
--- a/pkg/version/change.go
+++ b/pkg/version/change.go
@@ -20,9 +20,9 @@
 	ExtraFailures float64
 	// HoldAfterHarm is how long a change takes no further step after the last sign of harm; 0 means 10 s.
 	HoldAfterHarm time.Duration
-	// MinTrialPart is the part of the time from the start of the trial to the deadline before which a change
-	// does not leave its trial, so that a version that turns bad late is found at a small share.
-	MinTrialPart float64
+	// TrialUntilDeadline is set if a change stays in its trial until its deadline, at which it is decided without
+	// growing in between: the requests that a version gets before then are bounded by the largest share.
+	TrialUntilDeadline bool
 }
 
 // DefaultLimits returns the default limits.
@@ -43,8 +43,13 @@
 	maxSuspectShare = 0.5
 	// holdAfterHarm is the default of Limits.HoldAfterHarm.
 	holdAfterHarm = 10 * time.Second
+	// minFinalLogOdds is the least log odds with which a version gets all requests at the deadline, before its results
+	// of that time are judged.
+	minFinalLogOdds = -1
 	// firstTrialPart is the part of the largest share with which a trial begins.
 	firstTrialPart = 1.0 / 4
+	// shareTolerance is the factor by which the share of a trial may differ from its limit before it is changed.
+	shareTolerance = 1.1
 	// dwellDivisor divides the time from the start of the trial to the deadline into the times between
 	// steps, so that the ten or so steps to the full share take less than half of it.
 	dwellDivisor = 24
@@ -56,6 +61,8 @@
 	Limits Limits
 	// Record is the state of the change. A new decider sets it to what it has read.
 	Record Record
+	// CloseAfter is the time before which a change is not closed, or the zero time.
+	CloseAfter time.Time
 
 	evidence    Evidence
 	testStarted bool
@@ -66,6 +73,8 @@
 	// held is set while the change takes no further step, because of a sign of harm last seen at lastHarm.
 	held     bool
 	lastHarm time.Time
+	// finalFrom are the results of the new version from before it got all requests.
+	finalFrom Counts
 }
 
 // EventKind is the kind of an event that a change handles.
@@ -158,6 +167,19 @@
 	c.capacity = record.Share
 }
 
+// Adopt continues with the steps that another decider recorded; this instance keeps its own results, which do not
+// depend on what that decider was told.
+func (c *Change) Adopt(record Record) {
+	stepped := !record.LastStep.Equal(c.Record.LastStep)
+	own := c.Record
+	record.Old, record.New, record.AcceptLogOdds, record.OwnFailures = own.Old, own.New, own.AcceptLogOdds, own.OwnFailures
+	c.Record = record
+	if stepped {
+		c.requestsAtStep = own.New.Requests
+	}
+	c.capacity = record.Share
+}
+
 // startTest sets the duration of this decider's test at the first call, and continues from the record.
 func (c *Change) startTest(now time.Time) {
 	if c.testStarted {
@@ -232,6 +254,9 @@
 	case Moving:
 		return c.stepMoving(now)
 	case Done:
+		if c.Limits.TrialUntilDeadline {
+			return c.stepFinal(now)
+		}
 		if now.Sub(record.StateStart) >= c.Limits.KeepWarm {
 			record.Share = 1
 			return c.enterState(now, Closed, "kept_warm_long_enough")
@@ -249,14 +274,14 @@
 func (c *Change) holdOnHarm(now time.Time) []Action {
 	record := &c.Record
 	alarm := c.evidence.Alarm()
-	if record.Wealth >= suspicionWealth || alarm && record.State != Trial {
+	if record.Wealth >= suspicionWealth || alarm && record.State != Trial && !c.Limits.TrialUntilDeadline {
 		c.lastHarm = now
 	}
 	c.held = c.lastHarm.Equal(now) || c.held && (record.Wealth >= calmWealth || now.Sub(c.lastHarm) < cmp.Or(c.Limits.HoldAfterHarm, holdAfterHarm))
 	if c.held && record.State != Trial && record.Share > maxSuspectShare {
 		return c.setShare(now, maxSuspectShare, map[bool]string{true: "alarm", false: "suspicion"}[alarm])
 	}
-	if c.held && !c.nearDeadline(now) {
+	if c.held && !c.nearDeadline(now) && !(c.Limits.TrialUntilDeadline && record.State == Done) {
 		return []Action{}
 	}
 	return nil
@@ -305,6 +330,9 @@
 // nearDeadline reports whether the deadline is so near that the change has to be completed or rolled back.
 func (c *Change) nearDeadline(now time.Time) bool {
 	margin := min(c.dwell(), c.trialDuration()/8)
+	if c.Limits.TrialUntilDeadline {
+		margin = 0
+	}
 	return (c.Record.State == Trial || c.Record.State == Moving) && !now.Before(c.Plan.Deadline.Add(-margin))
 }
 
@@ -320,12 +348,16 @@
 		return c.decideAtDeadline(now)
 	case waited < c.dwell():
 		return nil
-	case c.isAccepted(falseAcceptRate) && !c.evidence.Alarm() && float64(now.Sub(record.TrialStart)) >= c.Limits.MinTrialPart*float64(c.trialDuration()):
+	case record.Share > trialLimit*shareTolerance:
+		return c.setShare(now, trialLimit, "limit_fell")
+	case c.Limits.TrialUntilDeadline && (record.Share*shareTolerance >= trialLimit || trialLimit <= 0):
+		return c.warnOfLittleTraffic(now)
+	case !c.Limits.TrialUntilDeadline && c.isAccepted(falseAcceptRate) && !c.evidence.Alarm():
 		c.enterState(now, Moving, "evidence_suffices")
 		record.Share = max(record.Share, min(2*record.Share, c.maxShare()))
 		return []Action{{Step: string(Moving)}}
 	case record.Share < trialLimit && (record.New.Requests-c.requestsAtStep >= minStepResults || waited >= c.trialDuration()/16):
-		return c.setShare(now, min(2*record.Share, trialLimit), "no_sign_of_harm")
+		return c.setShare(now, min(max(2*record.Share, trialLimit*firstTrialPart), trialLimit), "no_sign_of_harm")
 	}
 	return c.warnOfLittleTraffic(now)
 }
@@ -372,6 +404,12 @@
 		return c.rollBack(now, "too_few_targets_by_deadline", false)
 	case record.Wealth >= suspicionWealth || record.Wealth >= calmWealth && c.evidence.Alarm():
 		return c.rollBack(now, "signs_of_harm_by_deadline", false)
+	case c.Limits.TrialUntilDeadline && record.New.Requests >= minStepResults && c.logOddsAtLeast(minFinalLogOdds, nil):
+		record.Share = c.maxShare()
+		c.finalFrom = record.New
+		return c.enterState(now, Done, "no_sign_of_harm")
+	case c.Limits.TrialUntilDeadline:
+		return c.rollBack(now, "too_little_evidence_by_deadline", false)
 	case record.State == Moving || c.isAccepted(deadlineFalseAcceptRate):
 		record.Share = c.maxShare()
 		return c.enterState(now, Done, "evidence_suffices")
@@ -397,10 +435,23 @@
 // isAccepted reports whether the acceptance tests have accepted the new version for failures and for each
 // kind of slowness that has results.
 func (c *Change) isAccepted(falseAccept float64) bool {
-	minLogOdds := math.Log(1 / falseAccept)
+	return c.logOddsAtLeast(math.Log(1/falseAccept), nil)
+}
+
+// logOddsAtLeast reports whether the log odds that the new version is good are at least those given, for failures and
+// for each kind of slowness that has results. extra holds further results of the new version, or is nil.
+func (c *Change) logOddsAtLeast(minLogOdds float64, extra *Counts) bool {
 	for k := range defectKinds {
 		total, _ := c.Record.New.results(k)
-		if k == Failing && total == 0 || total > 0 && c.Record.AcceptLogOdds[k] < minLogOdds {
+		if k == Failing && total == 0 {
+			return false
+		}
+		logOdds := c.Record.AcceptLogOdds[k]
+		if extra != nil {
+			n, bad := extra.results(k)
+			logOdds += logOddsGain(k, c.evidence.recentOldRate(k), cmp.Or(c.Limits.ExtraFailures, badExtraFailures), pendingWindow{total: n, bad: bad})
+		}
+		if total > 0 && logOdds < minLogOdds {
 			return false
 		}
 	}
--- a/pkg/version/counts.go
+++ b/pkg/version/counts.go
@@ -78,6 +78,30 @@
 	}
 }
 
+// Since returns the counts of a cumulative report that were added after former, an earlier state of the same counts.
+func (r *Report) Since(former *Report) Report {
+	diff := Report{ChangeID: r.ChangeID}
+	for _, route := range r.Routes {
+		for i := range former.Routes {
+			if former.Routes[i].Route == route.Route {
+				route.subtract(&former.Routes[i])
+			}
+		}
+		if route.Old != (Counts{}) || route.New != (Counts{}) {
+			diff.Routes = append(diff.Routes, route)
+		}
+	}
+	return diff
+}
+
+// subtract takes away counts of which r is a later state; a counter that has not grown becomes 0.
+func (r *RouteCounts) subtract(former *RouteCounts) {
+	counters, formerCounters := r.counters(), former.counters()
+	for i, n := range counters {
+		*n -= min(*n, *formerCounters[i])
+	}
+}
+
 func (r *RouteCounts) add(other RouteCounts) {
 	r.Old.add(other.Old)
 	r.New.add(other.New)
--- a/pkg/version/plan.go
+++ b/pkg/version/plan.go
@@ -21,6 +21,8 @@
 	Revision     int64
 	Deadline     time.Time
 	LargestShare float64
+	// End is when a change that is not closed is rolled back, or the zero time if it may stay done for longer.
+	End time.Time
 }
 
 // PlanOf returns the change that an entry requests, if it requests one.
