Order the records of a rollout by a sequence number, not by the deciders' clocks

What callers could see: a bad version that was rolled back goes on to get requests, since the other instances ignore the record of a decider whose clock has stepped back until it has caught up.

Cause: record.later compared the wall clocks of different instances. A record that a candidate had begun, but never written, could hide the stored one in the same way.

Change: each write raises a sequence number.

--- a/internal/rollout/compatibility_test.go
+++ b/internal/rollout/compatibility_test.go
@@ -27,7 +27,7 @@
 // the change strictly, after it has dropped the fields that it does not know.
 func TestRecordIsReadByFormerBuild(t *testing.T) {
 	r := &record{
-		Order: Order{Pool: testPool, Version: "v2", Interval: testInterval}, Number: 3, Confirmed: true, Updated: t0, Ends: t0.Add(testInterval), Barred: []string{"v1"},
+		Order: Order{Pool: testPool, Version: "v2", Interval: testInterval}, Number: 3, Sequence: 7, Confirmed: true, Updated: t0, Ends: t0.Add(testInterval), Barred: []string{"v1"},
 		Change: version.NewChange(t0, version.Plan{ID: 5, Entry: testPool, From: formerVersion, To: "v2", Deadline: t0}, version.DefaultLimits()).Record,
 	}
 	former := recordOf31acda8{}
@@ -42,6 +42,7 @@
 	require.NoError(t, err)
 	again, err := decodeRecord(data)
 	require.NoError(t, err)
+	require.Zero(t, again.Sequence)
 	require.False(t, again.Confirmed)
 	require.Equal(t, r.Change, again.Change)
 }
--- a/internal/rollout/decider.go
+++ b/internal/rollout/decider.go
@@ -143,7 +143,7 @@
 	key := c.RecordPrefix + name
 	r := *p.record
 	r.Change.Decider, r.Change.Fence = c.Instance, c.lease.version.Revision
-	r.Confirmed = true
+	r.Sequence, r.Confirmed = p.record.Sequence+1, true
 	conditions := []feed.Condition{{Key: c.DeciderKey, Revision: c.lease.version.Revision}, {Key: key, Revision: c.versions[key].Revision}}
 	c.mu.Unlock()
 	statusKey, status := c.EncodeStatus(r.Order, r.state())
@@ -159,7 +159,9 @@
 		return false
 	}
 	c.versions[key], p.dirty, p.record.unsaved = at, false, false
-	p.record.Confirmed = true
+	if p.record.Number == r.Number && p.record.Sequence < r.Sequence {
+		p.record.Sequence, p.record.Confirmed = r.Sequence, true
+	}
 	c.logRecord(now, &r)
 	c.publish(now)
 	return true
--- a/internal/rollout/exposure_test.go
+++ b/internal/rollout/exposure_test.go
@@ -114,6 +114,18 @@
 	f.requireExposureWithinBounds(before)
 }
 
+// TestRollbackOfDeciderWithSlowClock guards against a rollback that others ignore since the decider's clock steps back.
+func TestRollbackOfDeciderWithSlowClock(t *testing.T) {
+	trial := &record{Order: Order{Pool: testPool, Version: "v2", Interval: testInterval}, Number: 1, Sequence: 4, Updated: t0}
+	rollback := *trial
+	rollback.Sequence, rollback.Updated = 5, t0.Add(-5*time.Second)
+	require.True(t, rollback.later(trial))
+	require.False(t, trial.later(&rollback))
+	former := rollback
+	former.Sequence, former.Updated = 0, t0.Add(time.Second)
+	require.True(t, former.later(trial), "a decider of the former build has written later")
+}
+
 // TestUnconfirmedShareEnds guards against a share that stays in force at instances that hear of no candidate.
 func TestUnconfirmedShareEnds(t *testing.T) {
 	f, _ := startInterval(t, 8, 40*time.Second, func(f *fleet, _ string, _ time.Duration) (bool, time.Duration) { return f.good() })
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -46,12 +46,12 @@
 
 // beginChange creates the record of an order's change at this candidate.
 func (c *Controller) beginChange(now time.Time, p *poolState) {
-	number, barred := int64(1), []string(nil)
+	number, sequence, barred := int64(1), int64(0), []string(nil)
 	if p.record != nil {
-		number, barred = p.record.Number+1, p.record.barredAfter(*p.order)
+		number, sequence, barred = p.record.Number+1, p.record.Sequence, p.record.barredAfter(*p.order)
 	}
 	p.record = &record{
-		Order: *p.order, Number: number, Updated: now, OrderEra: p.orderAt.Era, OrderRevision: p.orderAt.Revision, Barred: barred,
+		Order: *p.order, Number: number, Sequence: sequence, Updated: now, OrderEra: p.orderAt.Era, OrderRevision: p.orderAt.Revision, Barred: barred,
 		Ends: p.orderSeen.Add(p.order.Interval), unsaved: true, Change: version.Record{ID: p.order.changeID(number)},
 	}
 	t := c.timetable(now, p)
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -18,8 +18,10 @@
 	OrderEra      int64          `json:"order_era"`
 	OrderRevision int64          `json:"order_revision"`
 	Change        version.Record `json:"change"`
-	// Updated is when the record was last changed.
-	Updated time.Time `json:"updated"`
+	// Updated is when the record was last changed, by the clock of the decider. Sequence counts the times that it was
+	// written; 0 is that of a decider of the former format.
+	Updated  time.Time `json:"updated"`
+	Sequence int64     `json:"sequence,omitempty"`
 	// Confirmed is set if the deciding instance confirms the share to each instance whose reports it gets.
 	Confirmed bool `json:"confirmed,omitempty"`
 	// Ends is when the interval of the order ends, by the clock of the instance that began the change.
@@ -90,6 +92,10 @@
 	if r.unsaved != other.unsaved {
 		return other.unsaved
 	}
+	if r.Sequence != 0 && other.Sequence != 0 {
+		// Clocks differ, and may step back.
+		return r.Sequence > other.Sequence
+	}
 	return r.Updated.After(other.Updated)
 }
 
