Keep the known order of a rollout when a restore brings back a former one

Cause: an order has no generation of its own, so a later era made the copy's order, which had been carried out, the latest one. The version in use became the one on trial, and then one that is barred.

Change: an order that differs from the known one and comes with a restored copy is kept aside. It is carried out only if the operator has not given another one within 10 s, the time for which an order that the copy lacks is not taken for withdrawn.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -96,7 +96,9 @@
 	// not listed.
 	versions   map[string]feed.Version
 	restoredAt time.Time
-	lease      leaseState
+	// restored is the version of the store up to which it held a copy when it was last restored.
+	restored feed.Version
+	lease    leaseState
 	// changed signals Run that there may be something to decide.
 	changed chan struct{}
 }
@@ -106,8 +108,10 @@
 	order     *Order
 	orderAt   feed.Version
 	orderSeen time.Time
-	record    *record
-	counter   *version.Counter
+	// doubtful is an order that a restore has brought back in place of order.
+	doubtful *doubtfulOrder
+	record   *record
+	counter  *version.Counter
 	// counting is the change that the counter counts for, and counted what it has counted since countingSince, which was
 	// last reported at reportedAt.
 	counting      uint64
@@ -153,7 +157,7 @@
 	defer c.mu.Unlock()
 	c.pool("")
 	if update.Restored {
-		c.restoredAt = now
+		c.restoredAt, c.restored = now, feed.Version{Era: update.Era, Revision: update.Revision}
 		for key, v := range c.versions {
 			c.versions[key] = feed.Version{Era: update.Era, Revision: v.Revision}
 		}
@@ -244,9 +248,33 @@
 		return
 	}
 	p := c.pool(o.Pool)
+	if p.order != nil && *p.order != o && at.Era > p.orderAt.Era && at.Era == c.restored.Era && at.Revision <= c.restored.Revision {
+		// The restored copy may be older than the order that is known, which the operator then gives again.
+		p.doubtful = &doubtfulOrder{Order: o, at: at, until: now.Add(withdrawalGrace)}
+		c.Log.Write(now, timeline.Event{Kind: "rollout_order_doubtful", Entry: o.Pool, Version: o.Version, Revision: it.Revision, Decision: "kept_the_former"})
+		return
+	}
+	p.doubtful = nil
 	c.setOrder(now, p, o, at)
 }
 
+// doubtfulOrder is an order that a restored store holds in place of the one that is known.
+type doubtfulOrder struct {
+	Order
+	at    feed.Version
+	until time.Time
+}
+
+// acceptDoubtful accepts the orders of a restored store that the operator has not replaced in time; the caller holds mu.
+func (c *Controller) acceptDoubtful(now time.Time) {
+	for _, p := range c.pools {
+		if d := p.doubtful; d != nil && !now.Before(d.until) {
+			p.doubtful = nil
+			c.setOrder(now, p, d.Order, d.at)
+		}
+	}
+}
+
 func (c *Controller) setOrder(now time.Time, p *poolState, o Order, at feed.Version) {
 	if p.order == nil || *p.order != o || p.orderAt != at {
 		if p.order == nil || *p.order != o || p.orderAt.Era == at.Era {
--- a/internal/rollout/exposure_test.go
+++ b/internal/rollout/exposure_test.go
@@ -114,6 +114,58 @@
 	f.requireExposureWithinBounds(before)
 }
 
+// TestRestoreBringsBackFormerOrder guards against an order that a restore brings back and that is carried out again, in
+// place of the later one.
+func TestRestoreBringsBackFormerOrder(t *testing.T) {
+	f, _ := startChange(t, 6, nil)
+	f.run(testInterval)
+	require.Equal(t, "succeeded v2", f.lastStatus())
+	f.slots[testPool]["v1"] = 0
+	saved := f.copy()
+	f.run(3 * time.Second)
+	f.result = func(v, route string, since time.Duration) (bool, time.Duration) {
+		if v == "v3" {
+			return badVersions["half way"](f, route, since)
+		}
+		return f.good()
+	}
+	at, former := f.now, f.sent["v1"]
+	f.order(testPool, "v3", 40*time.Second)
+	f.run(500 * time.Millisecond)
+	f.slots[testPool]["v3"] = 30
+	f.run(1500 * time.Millisecond)
+	f.restore(saved)
+	f.run(time.Second)
+	for _, m := range f.members {
+		require.Equal(t, "v3", m.splits[testPool].Version)
+		require.NotContains(t, m.splits[testPool].Barred, "v2", "the version in use must serve")
+	}
+	f.order(testPool, "v3", 40*time.Second)
+	f.orderedAt = at
+	f.run(at.Add(40 * time.Second).Sub(f.now))
+	require.Equal(t, "rolled_back v3", f.lastStatus(), "%v", f.statuses)
+	f.requireVersionExposureWithinBounds("v3", former)
+	for _, m := range f.members {
+		require.NotContains(t, m.splits[testPool].Barred, "v2", "the version in use must serve")
+	}
+}
+
+// TestRestoredOrderIsAcceptedInTime guards against an order that is ignored for ever because a restore brought it.
+func TestRestoredOrderIsAcceptedInTime(t *testing.T) {
+	f := newFleet(t, 7, 8, 120)
+	f.result = func(string, string, time.Duration) (bool, time.Duration) { return f.good() }
+	f.order(testPool, "v2", 60*time.Second)
+	f.run(time.Second)
+	saved := f.copy()
+	f.order(testPool, "v3", 60*time.Second)
+	f.run(time.Second)
+	f.restore(saved)
+	f.run(withdrawalGrace - time.Second)
+	require.Equal(t, "v3", f.members[3].pools[testPool].order.Version)
+	f.run(2 * time.Second)
+	require.Equal(t, "v2", f.members[3].pools[testPool].order.Version)
+}
+
 // TestRollbackOfDeciderWithSlowClock guards against a rollback that others ignore since the decider's clock steps back.
 func TestRollbackOfDeciderWithSlowClock(t *testing.T) {
 	trial := &record{Order: Order{Pool: testPool, Version: "v2", Interval: testInterval}, Number: 1, Sequence: 4, Updated: t0}
--- a/internal/rollout/run.go
+++ b/internal/rollout/run.go
@@ -61,6 +61,7 @@
 // there are any.
 func (c *Controller) Step(ctx context.Context, now time.Time) bool {
 	c.mu.Lock()
+	c.acceptDoubtful(now)
 	pending := c.pendingPools()
 	mayDecide := c.mayDecide(now, len(pending) > 0)
 	if mayDecide {
@@ -116,11 +117,11 @@
 	return p.record == nil || p.record.state() != Running
 }
 
-// pendingPools returns the pools with a change to decide or a record to write.
+// pendingPools returns the pools with a change to decide, a record to write or an order to accept.
 func (c *Controller) pendingPools() []string {
 	var names []string
 	for name, p := range c.pools {
-		if !p.finished() || p.dirty {
+		if !p.finished() || p.dirty || p.doubtful != nil {
 			names = append(names, name)
 		}
 	}
