Do not offer a request again on a connection that has carried it

Cause: responses are matched by the request's id alone. Both targets refuse a call, it is offered to the first one again on the kept connection, and a second copy of the first refusal arrives in place of the answer.

Change: a connection keeps the ids of the last 16 requests that it has carried, and is left idle for those; another idle or a new one is used. On a connection that has not carried the request no response to a former attempt can arrive.

Weighed: a new connection for each second offer, which costs more and leaves a caller's own reuse of an id. Elsewhere: internal/server makes a new connection for each call that runs once; repeatable calls there use pooled ones, where such a refusal would be untrue, but no call would run twice (not changed).

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -83,12 +83,14 @@
 
 // sendRequest connects, sends the request and reads the response header.
 func (a *attempt) sendRequest(ctx context.Context, info AttemptInfo, nextCheck time.Time, onSilence silenceFunc) error {
-	connect := a.relay.targetConns.get
+	begunAt := time.Now()
+	var c *conn
+	var err error
 	if a.req.needsNewConn.Load() {
-		connect = a.relay.targetConns.dial
+		c, err = a.relay.targetConns.dial(ctx, a.target)
+	} else {
+		c, err = a.relay.targetConns.get(ctx, a.target, a.req.ID)
 	}
-	begunAt := time.Now()
-	c, err := connect(ctx, a.target)
 	if err != nil {
 		// A connection setup that outlasts its bound shows that this process does not get to run.
 		if now := time.Now(); ctx.Err() == nil && now.Sub(begunAt) < dialTimeout+maxTimerDelay {
@@ -105,6 +107,7 @@
 	a.cancelClose = context.AfterFunc(ctx, func() { _ = c.Close() })
 	c.nextCheck, c.onSilence = nextCheck, onSilence
 	a.sent = true
+	c.recordCarried(a.req.ID)
 	a.req.pool.recordSent(a.req)
 	targetReq := a.buildRequest(info)
 	res, err := c.roundTrip(targetReq)
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -59,8 +59,9 @@
 	// nextCheck is when onSilence is called; both belong to the request that uses the connection.
 	nextCheck time.Time
 	onSilence silenceFunc
-	// reused is set if the connection has carried a request before.
-	reused bool
+	// reused is set if the connection has carried a request before, and carried holds the ids of the latest ones.
+	reused  bool
+	carried []string
 	// idleUntil is when the idle connection must no longer be used.
 	idleUntil time.Time
 	// dataReceived is set when the target has sent data since the request was sent. lastHeardAt is the
@@ -132,6 +133,18 @@
 	return c.Conn.Read(b)
 }
 
+// maxCarried is the number of requests whose ids a connection keeps: a second copy of a response arrives before the
+// responses to so many later requests.
+const maxCarried = 16
+
+// recordCarried records that the connection carries a request.
+func (c *conn) recordCarried(id string) {
+	if len(c.carried) == maxCarried {
+		c.carried = append(c.carried[:0], c.carried[1:]...)
+	}
+	c.carried = append(c.carried, id)
+}
+
 // roundTrip sends a request and returns the next response with its header.
 func (c *conn) roundTrip(r *http.Request) (*http.Response, error) {
 	c.dataReceived, c.lastReadAt = false, time.Now()
--- a/internal/relay/connpool.go
+++ b/internal/relay/connpool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,11 +42,14 @@
 	idle map[netip.AddrPort][]*conn
 }
 
-// get returns an idle connection to a target, or a new one if there is none.
-func (p *connPool) get(ctx context.Context, t route.Target) (*conn, error) {
+// get returns an idle connection to a target that has not carried the request before, or a new one if there is none.
+//
+// Responses are matched to requests by the request's id, so a second copy of the response to a former attempt would be
+// taken for that to this one.
+func (p *connPool) get(ctx context.Context, t route.Target, requestID string) (*conn, error) {
 	for {
 		now := time.Now()
-		c := p.popIdle(now, t.Address)
+		c := p.popIdle(now, t.Address, requestID)
 		if c == nil {
 			return p.dial(ctx, t)
 		}
@@ -61,15 +65,19 @@
 	}
 }
 
-func (p *connPool) popIdle(now time.Time, address netip.AddrPort) *conn {
+func (p *connPool) popIdle(now time.Time, address netip.AddrPort, requestID string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	for len(list) > 0 {
-		c := list[len(list)-1]
-		list = list[:len(list)-1]
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		expired := !now.Before(c.idleUntil)
+		if !expired && slices.Contains(c.carried, requestID) {
+			continue
+		}
+		list = slices.Delete(list, i, i+1)
 		p.idle[address] = list
-		if now.Before(c.idleUntil) {
+		if !expired {
 			return c
 		}
 		_ = c.Close()
