Hold what an attempt sends until it proves that it goes on with the stream

Cause: when a stream is resumed, each answer with 2xx and a seal counted as its continuation. Text up to a blank line was passed on as an event without an id, and the end of the answer, or of the connection, as the end of the stream.

Change: an answer that states another type than text/event-stream is a failure. What has no id is held until the attempt's first event of the stream, and dropped if there is none. Such an attempt ends the stream only with an explicit end and without other text: only the end may have been lost (TestResumedStreamMayEndWithoutFurtherEvents).

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -55,8 +55,9 @@
 	headerSent     bool
 	// response is the response whose header is passed on with the first bytes of the stream.
 	response *http.Response
-	// heldComments are comments that came before the first event; until then another answer can be given.
-	heldComments []byte
+	// held are comments that came before the first event of the stream, until which another answer can be given, or what came
+	// without an id before the first event of an attempt that goes on with it.
+	held []byte
 	// idOffset is added to a position to give the event's id.
 	idOffset uint64
 	// idOffsetKnown is set once the first event's id is known.
@@ -259,7 +260,13 @@
 		st.handleTargetEvent(now, current, raw, id, numbered)
 		return
 	}
+	if errors.Is(err, io.EOF) && st.endsWithoutProof(current) {
+		err = &ResponseError{Rule: ruleNoEvents}
+	}
 	if errors.Is(err, io.EOF) {
+		if st.headerSent && current.firstEventAt.IsZero() {
+			st.held = nil
+		}
 		st.performActions(st.gen.Step(now, generation.Event{Kind: generation.Ended, Attempt: current.number, Position: st.gen.Position}))
 		if st.currentAttempt == current {
 			st.endAttempt(engine.RequestResult{}, true, "whole")
@@ -270,6 +277,15 @@
 	st.performActions(st.gen.Step(now, generation.Event{Kind: generation.ConnectionLost, Attempt: current.number, Target: current.target.ID, Reason: lossReason(err)}))
 }
 
+// ruleNoEvents is the rule of a ResponseError for a resumed stream that ends without a proof that nothing was left to send.
+const ruleNoEvents = "no_events"
+
+// endsWithoutProof reports whether an attempt that goes on with a stream has ended without an event of the stream, and with
+// other text or without an explicit end, as an error in place of a stream does.
+func (st *streamHandler) endsWithoutProof(current *attempt) bool {
+	return st.headerSent && current.firstEventAt.IsZero() && (!hasExplicitEnd(current.res) || !isComment(st.held))
+}
+
 // lossResult returns what the loss of the open attempt says about its target: nothing, if the
 // caller has disconnected.
 func (st *streamHandler) lossResult() engine.RequestResult {
@@ -282,7 +298,7 @@
 // handleTargetEvent passes one event from the target to the stream.
 func (st *streamHandler) handleTargetEvent(now time.Time, current *attempt, raw []byte, id uint64, numbered bool) {
 	if !numbered {
-		st.passUnnumbered(now, raw)
+		st.passUnnumbered(now, current, raw)
 		return
 	}
 	if !st.idOffsetKnown {
@@ -302,9 +318,11 @@
 }
 
 // passUnnumbered passes on an event without an id. A target that sends nothing else for long is silent.
-func (st *streamHandler) passUnnumbered(now time.Time, raw []byte) {
-	if !st.headerSent && isComment(raw) {
-		st.heldComments = append(st.heldComments, raw...)
+//
+// Once the stream has begun, it is held until the attempt proves with an event of the stream that it goes on with it.
+func (st *streamHandler) passUnnumbered(now time.Time, current *attempt, raw []byte) {
+	if st.headerSent && current.firstEventAt.IsZero() || !st.headerSent && isComment(raw) {
+		st.held = append(st.held, raw...)
 	} else {
 		st.write(raw)
 	}
@@ -346,8 +364,8 @@
 
 func (st *streamHandler) write(raw []byte) {
 	st.sendHeader()
-	if len(st.heldComments) > 0 {
-		raw, st.heldComments = append(st.heldComments, raw...), nil
+	if len(st.held) > 0 {
+		raw, st.held = append(st.held, raw...), nil
 	}
 	_, err := st.w.Write(raw)
 	if err == nil {
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"io"
+	"mime"
 	"net/http"
 	"net/netip"
 	"time"
@@ -130,8 +131,9 @@
 		ev.Kind, ev.Timeouts = generation.Accepted, st.silenceTimeouts()
 		st.backupEngine = info.BackupEngine
 		st.events = eventReader{reader: bufio.NewReaderSize(current.res.Body, 512), raw: st.events.raw}
+		st.held = nil
 		if !st.headerSent {
-			st.response, st.heldComments = current.res, nil
+			st.response = current.res
 		}
 	}
 	st.performActions(st.gen.Step(now, ev))
@@ -140,6 +142,9 @@
 // handleFailedResponse reports whether a response is not a usable stream, and ends its attempt.
 func (st *streamHandler) handleFailedResponse(current *attempt, ev *generation.Event) bool {
 	err := current.checkResponse()
+	if err == nil && current.res.StatusCode < http.StatusMultipleChoices && !isEventStream(current.res) {
+		err = &ResponseError{Rule: "no_event_stream"}
+	}
 	if err == nil && current.res.StatusCode < http.StatusMultipleChoices {
 		return false
 	}
@@ -158,6 +163,16 @@
 	return true
 }
 
+// isEventStream reports whether a response is a series of events; one that does not state its type counts as such.
+func isEventStream(res *http.Response) bool {
+	stated := res.Header.Get("Content-Type")
+	if stated == "" {
+		return true
+	}
+	mediaType, _, err := mime.ParseMediaType(stated)
+	return err == nil && mediaType == "text/event-stream"
+}
+
 func attemptReason(err error) string {
 	if err == nil {
 		return ""
