--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -102,7 +102,7 @@
 		a.relay.targetConns.put(time.Now(), c, 0)
 		return &MarkedError{}
 	}
-	a.req.pool.recordReached()
+	a.req.pool.recordReached(a.target)
 	a.conn = c
 	a.cancelClose = context.AfterFunc(ctx, func() { _ = c.Close() })
 	c.nextCheck, c.onSilence = nextCheck, onSilence
--- a/internal/relay/target_paths.go
+++ b/internal/relay/target_paths.go
@@ -64,10 +64,10 @@
 }
 
 // recordReached records that a target was connected.
-func (p *pool) recordReached() {
+func (p *pool) recordReached(t route.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.reachability.RecordReached()
+	p.reachability.RecordReached(t.ID)
 }
 
 // isUnreachable reports whether no target can be reached, so that a request that has tried one tries no other.
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -185,6 +185,7 @@
 		names = append(names, t.ID)
 	}
 	p.enginePool.RetainTargets(names)
+	p.reachability.Retain(names)
 	p.availability.Retain(now, p.targets)
 	p.limits.Retain(now, p.targets)
 	p.refusalLimits.Retain(now, p.targets)
--- a/internal/relay/versions.go
+++ b/internal/relay/versions.go
@@ -49,7 +49,8 @@
 	return a.Counts()
 }
 
-// OpenSlots returns the slots of a pool's open targets by version.
+// OpenSlots returns the slots of a pool's open targets by version, without those of targets that this instance can't reach
+// though it reaches others: an entry may have no target behind it.
 func (r *TargetRegistry) OpenSlots(now time.Time, name string) map[string]int {
 	out := map[string]int{}
 	p := r.pool(name)
@@ -58,8 +59,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	allFailing := !slices.ContainsFunc(p.targets, func(t route.Target) bool { return !p.reachability.Failing(t.ID) })
 	for i := range p.targets {
-		if t := &p.targets[i]; p.isOpen(now, t) {
+		if t := &p.targets[i]; p.isOpen(now, t) && (allFailing || !p.reachability.Failing(t.ID)) {
 			out[t.Version] += max(t.Slots, 1)
 		}
 	}
--- a/internal/rollout/compatibility_test.go
+++ b/internal/rollout/compatibility_test.go
@@ -92,3 +92,19 @@
 		_, _ = decodeConfirmation(data)
 	})
 }
+
+// FuzzDecodeRecord guards against a record of another writer that ends the process or gives a version more than all requests.
+func FuzzDecodeRecord(f *testing.F) {
+	r := &record{
+		Order: Order{Pool: testPool, Version: "v2", Interval: testInterval}, Number: 3,
+		Change: version.NewChange(t0, version.Plan{ID: 5, Entry: testPool, From: formerVersion, To: "v2", Deadline: t0}, version.DefaultLimits()).Record,
+	}
+	f.Add(r.encode())
+	f.Add([]byte(`{"order":{"interval":1e300}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if r, err := decodeRecord(data); err == nil {
+			s := r.split()
+			require.True(t, s.Share >= 0 && s.Share <= 1)
+		}
+	})
+}
--- a/internal/rollout/exposure_test.go
+++ b/internal/rollout/exposure_test.go
@@ -225,3 +225,17 @@
 	f.run(3 * time.Second)
 	require.Equal(t, sent, f.sent["v2"])
 }
+
+// TestCandidatesThatDoNotExist guards against an order without a status since odd entries rank among the instances that may
+// decide.
+func TestCandidatesThatDoNotExist(t *testing.T) {
+	f, _ := startInterval(t, 11, 20*time.Second, func(f *fleet, _ string, _ time.Duration) (bool, time.Duration) { return f.good() })
+	f.noCandidates = true
+	for _, m := range f.members {
+		m.resign()
+	}
+	f.run(6 * time.Second)
+	require.Equal(t, "running v2", f.lastStatus())
+	f.run(f.orderedAt.Add(20 * time.Second).Sub(f.now))
+	require.Equal(t, "succeeded v2", f.lastStatus())
+}
--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -46,6 +46,8 @@
 	lossRate float64
 	// noDecider is set if no instance may decide.
 	noDecider bool
+	// noCandidates is set if no instance ranks among those that may decide at once.
+	noCandidates bool
 	// loseAnswers makes the store execute calls without an answer.
 	loseAnswers bool
 	// slots holds the open slots by pool and version.
@@ -154,7 +156,7 @@
 // candidates returns the first two instances that are listed; dead ones are unlisted after memberTTL.
 func (f *fleet) candidates() []int {
 	var list []int
-	if f.noDecider {
+	if f.noDecider || f.noCandidates {
 		return nil
 	}
 	for _, m := range f.members {
--- a/pkg/route/reachability.go
+++ b/pkg/route/reachability.go
@@ -1,6 +1,10 @@
 package route
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// unreachableTargets is the number of targets that must have failed one after another, with none reached in between,
@@ -16,19 +20,32 @@
 // owner guards it.
 type Reachability struct {
 	failedAt map[string]time.Time
-	triedAt  time.Time
+	// failing holds the targets that could not be reached since they were reached last.
+	failing map[string]bool
+	triedAt time.Time
 }
 
 // RecordFailed records that no connection to a target could be made.
 func (r *Reachability) RecordFailed(now time.Time, id string) {
 	if r.failedAt == nil {
-		r.failedAt = map[string]time.Time{}
+		r.failedAt, r.failing = map[string]time.Time{}, map[string]bool{}
 	}
-	r.failedAt[id] = now
+	r.failedAt[id], r.failing[id] = now, true
 }
 
 // RecordReached records that a target was reached.
-func (r *Reachability) RecordReached() { clear(r.failedAt) }
+func (r *Reachability) RecordReached(id string) {
+	clear(r.failedAt)
+	delete(r.failing, id)
+}
+
+// Failing reports whether a target could not be reached since it was reached last.
+func (r *Reachability) Failing(id string) bool { return r.failing[id] }
+
+// Retain forgets the targets that are not among those given.
+func (r *Reachability) Retain(ids []string) {
+	maps.DeleteFunc(r.failing, func(id string, _ bool) bool { return !slices.Contains(ids, id) })
+}
 
 // Unreachable reports whether no target of a pool of some size can be reached.
 func (r *Reachability) Unreachable(now time.Time, size int) bool {
--- a/pkg/route/reachability_test.go
+++ b/pkg/route/reachability_test.go
@@ -24,7 +24,7 @@
 		}
 	}
 	require.Equal(t, int(time.Second/ReachInterval)-1, passed)
-	r.RecordReached()
+	r.RecordReached("c")
 	require.False(t, r.Refuses(now.Add(time.Second), 4))
 	require.False(t, r.Refuses(now.Add(time.Second), 4))
 	r.RecordFailed(now, "a")
@@ -33,3 +33,17 @@
 	require.True(t, r.Refuses(now.Add(2*time.Second), 1))
 	require.False(t, r.Refuses(now.Add(5*time.Second), 1), "the failures are old")
 }
+
+// TestTargetThatWasNeverReached guards against an entry without a target behind it that counts as one.
+func TestTargetThatWasNeverReached(t *testing.T) {
+	now, r := time.Unix(1000, 0), Reachability{}
+	r.RecordFailed(now, "a")
+	r.RecordReached("b")
+	require.True(t, r.Failing("a"), "also once others were reached")
+	require.False(t, r.Failing("b"))
+	r.RecordReached("a")
+	require.False(t, r.Failing("a"))
+	r.RecordFailed(now, "a")
+	r.Retain([]string{"b"})
+	require.False(t, r.Failing("a"))
+}
