Let one stream of a silent target leave first, and others follow once it was accepted

Cause: all streams of a target that pauses leave it within milliseconds, for places that load headers show as free. Each refusal uses a retry, and no request is new; so the budget was spent, though the target went on and had places again.

Change: while a target may be expected to go on (2 s), one stream of the pool leaves first; each that is accepted lets two more follow. A target that has refused a stream gets none of them for a second.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -65,6 +65,8 @@
 	firstEventAt time.Time
 	lastEventAt  time.Time
 	eventCount   int
+	// onTrial is set if the attempt replaces one at a target that is expected to go on.
+	onTrial bool
 	// finished is set when the attempt's result is recorded.
 	finished bool
 	// answerRecorded is set when the answer was recorded as one that did not crash its target.
--- a/internal/relay/replacement.go
+++ b/internal/relay/replacement.go
@@ -16,6 +16,7 @@
 	denialRetryBudget  = "retry_budget"
 	denialNoTarget     = "no_target"
 	denialTargetsFull  = "targets_full"
+	denialOthersFirst  = "others_first"
 )
 
 // maxPause is how long a silent target is expected to go on. During that time the stream is not moved
@@ -26,6 +27,8 @@
 type reservation struct {
 	target route.Target
 	load   float64
+	// onTrial is set if it replaces a target that is expected to go on.
+	onTrial bool
 }
 
 // isFull reports whether the target's slots are taken, as far as is known.
@@ -57,18 +60,25 @@
 	if denial := st.rerunDenial(now, runs); denial != "" {
 		return denial
 	}
-	chosen := st.chooseTarget(now, targetCriteria{avoidTargets: append(slices.Clone(avoid), current.target.ID), silentTarget: current.target.ID})
+	paused := now.Sub(current.conn.lastReadAt) < maxPause
+	if paused && !st.req.pool.allowsTrial(now) {
+		return denialOthersFirst
+	}
+	chosen := st.chooseTarget(now, targetCriteria{avoidTargets: append(slices.Clone(avoid), current.target.ID), silentTarget: current.target.ID, paused: paused})
 	denial := ""
 	switch {
 	case chosen == nil:
 		return denialNoTarget
-	case chosen.isFull() && now.Sub(current.conn.lastReadAt) < maxPause:
+	case chosen.isFull() && paused:
 		denial = denialTargetsFull
 	case !st.req.pool.allowRetry(now):
 		denial = denialRetryBudget
 	default:
 		st.releaseReservation(now)
 		st.reserved = chosen
+		if chosen.onTrial = paused; paused {
+			st.req.pool.beginTrial(now)
+		}
 		return ""
 	}
 	st.req.pool.releaseTarget(now, chosen.target)
@@ -116,6 +126,9 @@
 func (st *streamHandler) releaseReservation(now time.Time) {
 	if reserved := st.takeReservation(); reserved != nil {
 		st.req.pool.releaseTarget(now, reserved.target)
+		if reserved.onTrial {
+			st.req.pool.endTrial(now, false)
+		}
 	}
 }
 
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -48,6 +48,7 @@
 		info.BackupEngine = b.Address
 	}
 	current := st.relay.newAttempt(now, st.req, t, action.Attempt, reason, chosen.load)
+	current.onTrial = chosen.onTrial
 	st.currentAttempt = current
 	st.gen.Timeouts = st.silenceTimeouts()
 	st.openAttempt(current, info)
@@ -94,6 +95,12 @@
 func (st *streamHandler) openAttempt(current *attempt, info AttemptInfo) {
 	err := current.sendRequest(st.ctx, info, time.Now().Add(lossCheckInterval), st.onSilence)
 	now := time.Now()
+	if err == nil && current.info.NotRun {
+		st.req.pool.recordStreamRefusal(now, current.target.ID)
+	}
+	if current.onTrial {
+		st.req.pool.endTrial(now, err == nil && !current.info.NotRun)
+	}
 	if st.gen.Done() || st.currentAttempt == nil {
 		return
 	}
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -79,6 +79,7 @@
 	retryBudget        booking.SharedRetryBudget
 	instanceCount      func() int
 	losses             lossTracker
+	trials             trials
 	// replaced holds targets at whose address another incarnation has responded.
 	replaced map[string]route.Target
 	// availability holds what targets have said about new requests.
@@ -218,6 +219,8 @@
 	// silentTarget is the target that is to be replaced only if another one is expected to accept
 	// the request, or empty.
 	silentTarget string
+	// paused is set if the silent target is expected to go on, so that only a target that has room may replace it.
+	paused bool
 	// preferredTarget is chosen if it is open to new requests.
 	preferredTarget string
 	// avoidDataCentre is a data centre that is chosen only if there is no other, or empty.
@@ -250,7 +253,7 @@
 		func(t *route.Target) bool { return !slices.Contains(criteria.avoidTargets, t.ID) },
 		func(*route.Target) bool { return len(criteria.avoidTargets) > 0 },
 	} {
-		if c, ok := p.enginePool.ChooseCandidate(now, p.openTargets(now, dataCentre, p.withVersion(now, criteria, p.replacing(now, criteria.silentTarget, passes))), nil, nil); ok {
+		if c, ok := p.enginePool.ChooseCandidate(now, p.openTargets(now, dataCentre, p.withVersion(now, criteria, p.replacing(now, criteria, passes))), nil, nil); ok {
 			t := p.findTarget(c.Name)
 			load := c.Load
 			if p.refusalLimits.Brittle(t) {
@@ -270,12 +273,12 @@
 }
 
 // replacing restricts a filter to the targets that may replace a silent one; the caller holds mu.
-func (p *pool) replacing(now time.Time, silentTarget string, passes func(t *route.Target) bool) func(t *route.Target) bool {
-	if silentTarget == "" {
+func (p *pool) replacing(now time.Time, criteria targetCriteria, passes func(t *route.Target) bool) func(t *route.Target) bool {
+	if criteria.silentTarget == "" {
 		return passes
 	}
 	return func(t *route.Target) bool {
-		return t.ID != silentTarget && !p.availability.BacksOffElsewhere(now, t.ID) && !p.losses.lostRecently(now, t.ID) && passes(t)
+		return t.ID != criteria.silentTarget && !(criteria.paused && p.trials.hasRefused(now, t.ID)) && !p.availability.BacksOffElsewhere(now, t.ID) && !p.losses.lostRecently(now, t.ID) && passes(t)
 	}
 }
 
