--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -129,8 +129,6 @@
 	change    *version.Change
 	heard     map[senderID]*heardReport
 	trackedAt time.Time
-	// resume is set when another decider has written the record since the last step of change.
-	resume bool
 	// dirty is set when the store lacks the record.
 	dirty       bool
 	split       version.Split
@@ -343,7 +341,7 @@
 		if p.markedBad {
 			s.Share = 0
 		}
-		if p.order != nil && p.order.Interval > 0 && s.Until.After(p.orderSeen.Add(p.order.Interval)) {
+		if p.order != nil && s.Until.After(p.orderSeen.Add(p.order.Interval)) {
 			s.Until = p.orderSeen.Add(p.order.Interval)
 		}
 		return s
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -21,6 +21,8 @@
 	// time over which a rate is taken.
 	rateTimeout = 2 * time.Second
 	minRateTime = time.Second
+	// maxSenders bounds the processes whose reports for one change are kept.
+	maxSenders = 4096
 )
 
 // heardReport is the latest report of one process.
@@ -108,6 +110,9 @@
 	id := senderID{r.sender, r.incarnation}
 	last := p.heard[id]
 	if last == nil {
+		if len(p.heard) >= maxSenders {
+			return
+		}
 		last = &heardReport{}
 		p.heard[id] = last
 	}
