--- a/internal/relay/open_slots_test.go
+++ b/internal/relay/open_slots_test.go
@@ -10,8 +10,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestEntryWithoutTargetHasNoSlots guards against a rollout that lacks targets for want of a match to an entry that has
-// nobody behind it.
+// TestEntryWithoutTargetHasNoSlots guards against a rollout that fails for want of a match to an entry without a target.
 func TestEntryWithoutTargetHasNoSlots(t *testing.T) {
 	answer := func(c net.Conn, r *http.Request, _ string) bool { return writeResponse(c, r, 200, "x", "Seal: s") }
 	e1, odd := startStub(t, "e1", answer), startStub(t, "odd", answer)
--- a/internal/relay/repeated_refusal_test.go
+++ b/internal/relay/repeated_refusal_test.go
@@ -11,8 +11,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestSecondCopyOfRefusalIsNotTheAnswer guards against a call that is refused, or run twice, since a target wrote its earlier
-// refusal of the same call once more on a kept connection.
+// TestSecondCopyOfRefusalIsNotTheAnswer guards against an earlier refusal that is taken for the answer to a later attempt.
 func TestSecondCopyOfRefusalIsNotTheAnswer(t *testing.T) {
 	for _, path := range []string{"/book/1", "/view/1"} {
 		t.Run(path, func(t *testing.T) {
--- a/internal/relay/resumed_error_test.go
+++ b/internal/relay/resumed_error_test.go
@@ -10,8 +10,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestErrorOfNextTargetIsNotPartOfTheStream guards against the text or head of an error in the middle of a stream that broke
-// off, and against such a stream that looks complete.
+// TestErrorOfNextTargetIsNotPartOfTheStream guards against an error in the middle, or in place of the end, of a stream.
 func TestErrorOfNextTargetIsNotPartOfTheStream(t *testing.T) {
 	head := func(status int, r *http.Request, headers string) string {
 		return fmt.Sprintf("HTTP/1.1 %d S\r\nId: %s\r\n%s", status, r.Header.Get("Id"), headers)
--- a/internal/relay/trials_test.go
+++ b/internal/relay/trials_test.go
@@ -15,8 +15,7 @@
 	"bambooferry.example/bambooferry/pkg/route"
 )
 
-// TestStreamsOfPausedTargetFollowTheFirst guards against streams that all leave a target that pauses for one that refuses
-// them, and use up the retries.
+// TestStreamsOfPausedTargetFollowTheFirst guards against streams that all leave a paused target for one that refuses them.
 func TestStreamsOfPausedTargetFollowTheFirst(t *testing.T) {
 	const streams = 6
 	var runs, refusals atomic.Int32
@@ -48,8 +47,7 @@
 	t.Logf("%d streams left, %d refusals", left, refusals.Load())
 }
 
-// TestTrials guards against streams that leave before the first one was accepted, and against ones that wait for long when
-// others have room.
+// TestTrials guards against streams that leave before the first one was accepted, or wait for long after that.
 func TestTrials(t *testing.T) {
 	now, tr := time.Unix(1000, 0), trials{}
 	require.True(t, tr.allows(now))
--- a/internal/rollout/compatibility_test.go
+++ b/internal/rollout/compatibility_test.go
@@ -23,8 +23,7 @@
 	Barred        []string        `json:"barred,omitempty"`
 }
 
-// TestRecordIsReadByFormerBuild guards against a record that instances of the build 31acda8 can't read: that build decodes
-// the change strictly, after it has dropped the fields that it does not know.
+// TestRecordIsReadByFormerBuild guards against a record that the former build, which decodes the change strictly, can't read.
 func TestRecordIsReadByFormerBuild(t *testing.T) {
 	r := &record{
 		Order: Order{Pool: testPool, Version: "v2", Interval: testInterval}, Number: 3, Sequence: 7, Confirmed: true, Updated: t0, Barred: []string{"v1"},
@@ -109,8 +108,7 @@
 	})
 }
 
-// TestEndOfIntervalIsReadFromFormerRecord guards against an order that is never decided, since all instances have restarted
-// and count its interval from then on.
+// TestEndOfIntervalIsReadFromFormerRecord guards against an order that is decided late since all instances restart.
 func TestEndOfIntervalIsReadFromFormerRecord(t *testing.T) {
 	const interval = 20 * time.Second
 	f := newFleet(t, 21, 3, 120)
--- a/internal/rollout/exposure_test.go
+++ b/internal/rollout/exposure_test.go
@@ -114,8 +114,7 @@
 	f.requireExposureWithinBounds(before)
 }
 
-// TestRestoreBringsBackFormerOrder guards against an order that a restore brings back and that is carried out again, in
-// place of the later one.
+// TestRestoreBringsBackFormerOrder guards against a former order that a restore brings back in place of the latest one.
 func TestRestoreBringsBackFormerOrder(t *testing.T) {
 	f, _ := startChange(t, 6, nil)
 	f.run(testInterval)
@@ -199,8 +198,7 @@
 	`"old":{"requests":0,"failed":0,"firsts":0,"firsts_slow":0,"paces":0,"paces_slow":0},"new":{"requests":%d,"failed":0,"firsts":0,"firsts_slow":0,"paces":0,"paces_slow":0},` +
 	`"own_failures":0,"wealth":1,"accepted":[0,0,0]},"updated":%q}`
 
-// TestShareOfFormerBuildStaysWithinBounds guards against instances that follow a decider of the former build beyond the
-// bounds while builds run side by side, and against ones that do not follow it at all.
+// TestShareOfFormerBuildStaysWithinBounds guards against following a decider of the former build beyond the bounds, or not at all.
 func TestShareOfFormerBuildStaysWithinBounds(t *testing.T) {
 	const interval = 40 * time.Second
 	f := newFleet(t, 9, 8, 120)
@@ -226,8 +224,7 @@
 	require.Equal(t, sent, f.sent["v2"])
 }
 
-// TestCandidatesThatDoNotExist guards against an order without a status since odd entries rank among the instances that may
-// decide.
+// TestCandidatesThatDoNotExist guards against an order without a status since odd entries rank among the candidates.
 func TestCandidatesThatDoNotExist(t *testing.T) {
 	f, _ := startInterval(t, 11, 20*time.Second, func(f *fleet, _ string, _ time.Duration) (bool, time.Duration) { return f.good() })
 	f.noCandidates = true
--- a/internal/rollout/table_test.go
+++ b/internal/rollout/table_test.go
@@ -132,9 +132,9 @@
 	return r
 }
 
-// TestExposureOfRandomPlays guards against bad versions that get more than their bounds allow, whatever turns bad when and
-// whatever fails beside it. PLAYS sets how many plays of each kind are made, and PLAYS_FIRST the first seed.
+// TestExposureOfRandomPlays guards against bad versions over their bounds, whatever turns bad when and fails beside it.
 func TestExposureOfRandomPlays(t *testing.T) {
+	// PLAYS sets how many plays of each kind are made, and PLAYS_FIRST the first seed.
 	plays, first := 150, uint64(0)
 	if n, err := strconv.Atoi(os.Getenv("PLAYS")); err == nil {
 		plays = n
--- a/pkg/version/allowance_test.go
+++ b/pkg/version/allowance_test.go
@@ -10,8 +10,7 @@
 	"bambooferry.example/bambooferry/pkg/version"
 )
 
-// TestAllowancesStayWithinTheLimit guards against instances that together send more requests to a version than its limit
-// allows, whatever share each believes in and however the requests are divided among them.
+// TestAllowancesStayWithinTheLimit guards against instances that together send more to a version than its limit allows.
 func TestAllowancesStayWithinTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := version.ExposureLimit{Share: 0.1, Slack: 50}
