--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -319,7 +319,7 @@
 
 // passUnnumbered passes on an event without an id. A target that sends nothing else for long is silent.
 //
-// Once the stream has begun, it is held until the attempt proves with an event of the stream that it goes on with it.
+// Once the response has begun, it is buffered until the attempt sends an event with an id.
 func (st *streamHandler) passUnnumbered(now time.Time, current *attempt, raw []byte) {
 	if st.headerSent && current.firstEventAt.IsZero() || !st.headerSent && isComment(raw) {
 		st.held = append(st.held, raw...)
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -124,8 +124,8 @@
 	// confirmedAt is when the share was last confirmed; markedBad ends it.
 	confirmedAt time.Time
 	markedBad   bool
-	// change is the change as a candidate sees it, heard the reports for it, and trackedAt when this instance began to
-	// follow it.
+	// change is the change as a candidate sees it, heard the latest reports for it by sender, and trackedAt when this
+	// instance became a candidate for it.
 	change    *version.Change
 	heard     map[senderID]*heardReport
 	trackedAt time.Time
--- a/internal/rollout/decider.go
+++ b/internal/rollout/decider.go
@@ -20,10 +20,10 @@
 	callTimeout = 500 * time.Millisecond
 	// retryInterval is the time after a failed call or a conflict until the next try.
 	retryInterval = 400 * time.Millisecond
-	// deafTime is how long a decider goes on without evidence of another instance, and deafRetryInterval the time until
-	// it tries again, in which another one may begin.
-	deafTime          = 2 * time.Second
-	deafRetryInterval = time.Second
+	// isolationTimeout is the time without evidence of other members after which a decider resigns, and
+	// isolationRetryInterval the time until it may acquire the lease again.
+	isolationTimeout       = 2 * time.Second
+	isolationRetryInterval = time.Second
 	// summaryInterval is the time after which the counts of an undecided change are written.
 	summaryInterval = 2 * time.Second
 )
@@ -46,12 +46,12 @@
 	c.mu.Lock()
 	current, exists := c.versions[c.DeciderKey]
 	lost := l.ID != 0 && (c.restoredAt.After(l.renewedAt) || exists && current != l.version)
-	deaf := l.ID != 0 && c.isDeaf(now)
+	isolated := l.ID != 0 && c.isIsolated(now)
 	c.mu.Unlock()
-	if deaf {
+	if isolated {
 		c.Log.Write(now, timeline.Event{Kind: "decider_ended", Why: "no_evidence_of_others", Decision: "resign"})
 		c.resign()
-		l.retryAt = now.Add(deafRetryInterval)
+		l.retryAt = now.Add(isolationRetryInterval)
 		return false
 	}
 	if lost || !l.until.IsZero() && !now.Before(l.until) {
@@ -75,11 +75,10 @@
 	return c.acquireLease(ctx, now)
 }
 
-// isDeaf reports whether a decider hears no other instance though there are some, as when it is cut off; the caller
-// holds mu.
-func (c *Controller) isDeaf(now time.Time) bool {
+// isIsolated reports whether a decider has received no evidence of other members for isolationTimeout; the caller holds mu.
+func (c *Controller) isIsolated(now time.Time) bool {
 	n, _ := c.Place()
-	return n > 1 && now.Sub(c.heardAt) > deafTime && now.Sub(c.lease.begunAt) > deafTime
+	return n > 1 && now.Sub(c.heardAt) > isolationTimeout && now.Sub(c.lease.begunAt) > isolationTimeout
 }
 
 func (c *Controller) renewLease(ctx context.Context, now time.Time) bool {
--- a/internal/rollout/exposure_test.go
+++ b/internal/rollout/exposure_test.go
@@ -13,11 +13,11 @@
 // TestShareEndsWithoutDecider guards against a bad version that goes on to get requests while nobody decides.
 func TestShareEndsWithoutDecider(t *testing.T) {
 	for name, silence := range map[string]func(m *member){
-		"killed":                 func(m *member) { m.kill() },
-		"frozen":                 func(m *member) { m.frozen = true },
-		"cut off from all":       func(m *member) { m.cut, m.deaf = true, true },
-		"deaf, with the store":   func(m *member) { m.deaf = true },
-		"cut off from the store": func(m *member) { m.cut = true },
+		"killed":                   func(m *member) { m.kill() },
+		"frozen":                   func(m *member) { m.frozen = true },
+		"cut off from all":         func(m *member) { m.cut, m.isolated = true, true },
+		"isolated, with the store": func(m *member) { m.isolated = true },
+		"cut off from the store":   func(m *member) { m.cut = true },
 	} {
 		t.Run(name, func(t *testing.T) {
 			const interval = 40 * time.Second
@@ -177,7 +177,7 @@
 	require.True(t, former.later(trial), "a decider of the former build has written later")
 }
 
-// TestUnconfirmedShareEnds guards against a share that stays in force at instances that hear of no candidate.
+// TestUnconfirmedShareEnds guards against a share that stays in force at instances without confirmations.
 func TestUnconfirmedShareEnds(t *testing.T) {
 	f, _ := startInterval(t, 8, 40*time.Second, func(f *fleet, _ string, _ time.Duration) (bool, time.Duration) { return f.good() })
 	f.run(10 * time.Second)
--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -70,14 +70,14 @@
 	*Controller
 	fleet *fleet
 	index int
-	// dead instances do nothing; cut ones neither reach the store nor get its updates, and deaf ones get no messages of
+	// dead instances do nothing; cut ones neither reach the store nor get its updates, and isolated ones get no messages of
 	// others. Frozen ones do nothing until they are not any more.
-	dead, cut, deaf, frozen bool
-	splits                  map[string]version.Split
-	allowances              map[string]*version.Allowance
-	changes                 map[string]uint64
-	queue                   []feed.Update
-	diedAt, nextStep        time.Time
+	dead, cut, isolated, frozen bool
+	splits                      map[string]version.Split
+	allowances                  map[string]*version.Allowance
+	changes                     map[string]uint64
+	queue                       []feed.Update
+	diedAt, nextStep            time.Time
 }
 
 func newFleet(t *testing.T, seed uint64, n int, rate float64) *fleet {
@@ -129,7 +129,7 @@
 func (m *member) deliver(to netip.AddrPort, handle func(c *Controller)) {
 	f := m.fleet
 	other := f.members[to.Addr().As4()[3]]
-	if other.dead || other.frozen || other.deaf || m.deaf || f.rng.Float64() < f.lossRate {
+	if other.dead || other.frozen || other.isolated || m.isolated || f.rng.Float64() < f.lossRate {
 		return
 	}
 	f.messages = append(f.messages, func() { handle(other.Controller) })
--- a/internal/rollout/table_test.go
+++ b/internal/rollout/table_test.go
@@ -49,16 +49,16 @@
 	}},
 	{"both candidates cut off", func(f *fleet) func() {
 		for _, m := range f.members[:2] {
-			m.cut, m.deaf = true, true
+			m.cut, m.isolated = true, true
 		}
 		return func() {
 			for _, m := range f.members[:2] {
-				m.cut, m.deaf = false, false
+				m.cut, m.isolated = false, false
 			}
 		}
 	}},
 	{"decider frozen", func(f *fleet) func() { f.members[0].frozen = true; return func() { f.members[0].frozen = false } }},
-	{"decider deaf", func(f *fleet) func() { f.members[0].deaf = true; return func() { f.members[0].deaf = false } }},
+	{"decider isolated", func(f *fleet) func() { f.members[0].isolated = true; return func() { f.members[0].isolated = false } }},
 	{"traffic falls", func(f *fleet) func() { f.rate /= 4; return func() {} }},
 }
 
--- a/pkg/route/reachability.go
+++ b/pkg/route/reachability.go
@@ -42,7 +42,7 @@
 // Failing reports whether a target could not be reached since it was reached last.
 func (r *Reachability) Failing(id string) bool { return r.failing[id] }
 
-// Retain forgets the targets that are not among those given.
+// Retain removes the state of targets that are not among those given.
 func (r *Reachability) Retain(ids []string) {
 	maps.DeleteFunc(r.failing, func(id string, _ bool) bool { return !slices.Contains(ids, id) })
 }
