Send each request of internal/server to a target on a connection of its own

What callers saw: with a target that writes its latest answer once more where the next one is due, 10 of 20 repeatable calls, sent one after another, got the answer to another call, with status 200. So one caller could get another caller's data.

Cause: repeatable calls, polls and orders used an http.Client with pooled connections. Answers on the own interface do not name their request, so whatever comes next on a connection is taken for the answer.

Change: the client of targets opens a new connection for each request, as calls that run once, generations and cancellations did already. The second client without pooling and the handling of dead pooled connections are gone.

Why it works: a connection carries one request, so no answer to another one can arrive on it.

Tests red before: TestRepeatableCallGetsAnswerToAnotherCall (10 of 20, copy where the next answer is due), TestClientGetsAnswerToFormerRequest (10 of 20; load reports and orders). With the copy sent with the answer itself both held before: the client had seen the extra bytes by the next request.

Weighed: a required answer header with the request's id, refused without it on a reused connection. No reuse after unexpected bytes, checked before and after each answer: it leaves the copy that arrives after the next request was sent.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -145,9 +145,6 @@
 func (d *Deployment) Close() {
 	d.cancel()
 	d.group.Wait()
-	for _, in := range d.Instances {
-		in.Client.CloseIdleConnections()
-	}
 }
 
 func (d *Deployment) startPlatform() error {
@@ -347,7 +344,6 @@
 		_ = in.Network.Listener.Close()
 		_ = in.Listener.Close()
 		in.connections.closeAll()
-		in.Client.CloseIdleConnections()
 	})
 }
 
--- a/internal/server/call_repeat.go
+++ b/internal/server/call_repeat.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -129,7 +127,7 @@
 	startedAt := time.Now()
 	go func() {
 		defer choice.Release()
-		a, err := s.sendPooled(ctx, choice.Target, r.call)
+		a, err := s.sendRepeatable(ctx, choice.Target, r.call)
 		s.recordVersionEvidence(ctx, r.call, version, choice.Target.Name, time.Since(startedAt), a.status(), err)
 		choice.Placement.recordCallEnd(ctx, err)
 		r.responses <- attemptResponse{a, choice.Target.Name, time.Since(startedAt), err}
@@ -177,19 +175,12 @@
 	return "answer_lost"
 }
 
-// sendPooled sends a repeatable call over the shared client and its pooled connections. The client's
-// own retries would be harmless, as the call may be repeated.
-func (s *Server) sendPooled(ctx context.Context, t catalogue.Target, c *call) (targetResponse, *sendError) {
+// sendRepeatable sends a repeatable call to a target.
+func (s *Server) sendRepeatable(ctx context.Context, t catalogue.Target, c *call) (targetResponse, *sendError) {
 	req, err := c.httpRequest(ctx, t)
 	if err != nil {
 		return targetResponse{}, &sendError{NotRun: true, Code: "invalid_call", Err: err}
 	}
-	// When an idle connection breaks, the transport itself repeats a request that has no body or
-	// a body that it can get again. Those attempts would not be counted in the retry budget.
-	req.GetBody = nil
-	if req.Body == nil || req.Body == http.NoBody {
-		req.Body = io.NopCloser(strings.NewReader(""))
-	}
 	_, unregister := s.calls.registerRequest(t.Name, c.digest, 0, nil)
 	defer unregister()
 	connected := false
@@ -203,8 +194,6 @@
 			return a, nil
 		}
 	}
-	// A dial may also fail after the transport used a pooled connection, so a dial error alone does
-	// not prove that nothing was sent.
 	if !connected {
 		return targetResponse{}, &sendError{NotRun: true, Code: "target_unreachable", Err: err}
 	}
--- a/internal/server/call_send.go
+++ b/internal/server/call_send.go
@@ -94,8 +94,7 @@
 
 // sendOnNewConnection writes a call to a new connection and reads the response.
 //
-// http.Transport is not used, since it retries requests on pooled connections; with a
-// new connection a failed dial also proves that nothing was sent.
+// A failed dial proves that nothing was sent.
 func (s *Server) sendOnNewConnection(ctx context.Context, t catalogue.Target, c *call) (*booking.Result, *sendError) {
 	conn, err := s.calls.dial(ctx, "tcp", t.Address.String())
 	if err != nil {
--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -14,6 +14,9 @@
 const socketBytes = 16 << 10
 
 // NewClient returns the HTTP client for targets; its connections use small buffers.
+//
+// Each request gets a connection of its own: a target that writes an answer once more would otherwise answer the
+// next request on the connection with it, since answers on the own interface do not name their request.
 func NewClient(dialTimeout time.Duration) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{Transport: &http.Transport{
@@ -24,11 +27,9 @@
 			}
 			return c, err
 		},
-		MaxIdleConnsPerHost: 4,
-		MaxIdleConns:        256,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
-		ReadBufferSize:      2 << 10,
-		WriteBufferSize:     2 << 10,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+		ReadBufferSize:     2 << 10,
+		WriteBufferSize:    2 << 10,
 	}}
 }
--- a/internal/server/open.go
+++ b/internal/server/open.go
@@ -84,19 +84,6 @@
 	return &lineReader{body: c, in: bufio.NewReaderSize(res.Body, lineBufferBytes)}, nil
 }
 
-// unpooledClient returns a client that opens a new connection for each request, since an idle connection may be dead.
-func (s *Server) unpooledClient() *http.Client {
-	s.unpooledOnce.Do(func() {
-		s.unpooled = s.Client
-		if t, ok := s.Client.Transport.(*http.Transport); ok {
-			t = t.Clone()
-			t.DisableKeepAlives = true
-			s.unpooled = &http.Client{Transport: t}
-		}
-	})
-	return s.unpooled
-}
-
 const (
 	cancelTimeout = time.Second
 	// cancelRetryPause is the pause before an unconfirmed cancel request is sent again.
@@ -118,7 +105,7 @@
 	if err != nil {
 		return false
 	}
-	res, err := s.unpooledClient().Do(r)
+	res, err := s.Client.Do(r)
 	if err != nil {
 		return false
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -57,7 +56,7 @@
 	Admitter Admitter
 	// Pools is the router's state of the targets; nil if the router does not use it.
 	Pools *Pools
-	// Client opens connections to targets.
+	// Client sends requests to targets, each on a new connection, as that of NewClient does.
 	Client *http.Client
 	// Metrics collects the instance's metrics.
 	Metrics *metrics.Set
@@ -81,9 +80,6 @@
 	rejectNew atomic.Bool
 	tokenGaps gapTable
 	resumes   resumeQueues
-	// unpooled is a client that opens a new connection for each request.
-	unpooled     *http.Client
-	unpooledOnce sync.Once
 	// activeHandlers counts requests in handlers. cutOff and graceful record how Run ended.
 	activeHandlers atomic.Int64
 	cutOff         atomic.Bool
--- a/internal/server/stop_conns_test.go
+++ b/internal/server/stop_conns_test.go
@@ -115,6 +115,11 @@
 	if g.release != nil {
 		t.Cleanup(func() { close(g.release) })
 	}
+	return startInstanceWithService(t, l, model, service)
+}
+
+// startInstanceWithService starts an instance whose model and service have one target each.
+func startInstanceWithService(t testing.TB, l server.Limits, model, service netip.AddrPort) *testInstance {
 	in := startInstance(t, l, model)
 	d := testDocument([]netip.AddrPort{model})
 	d.Revision++
