Do not use a connection again for any id that it has carried

What callers saw: a call that must not be repeated ran twice. All targets refuse it, its caller sends it again with the same id, and 16 or more other requests have used the connection since: the copy of the refusal is taken for the answer, and the call is offered again.

Cause: a connection kept the ids of its last 16 requests only, on the ground that a copy arrives before that many answers.

Change: a connection keeps a hash of the id of each request, and is closed after 256 requests, so that the list stays bounded.

Why it works: no request is sent on a connection that has carried its id, so no answer with the id can be a copy.

Test red before: TestCopyOfRefusalAfterManyRequests, with 16, 17 and 100 requests between: 2 runs where 1 is right. Green before and after: TestLateAnswerToAnotherRequest, late answers with the id of another request or none, of ten kinds (success, 421, 401, refusals, statements): none is passed on and no statement is believed.

Ruled out: answers to probes (each is the first on its connection); tunnels (the same connections above the carrier).

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"bambooferry.example/bambooferry/internal/tunnel"
@@ -59,9 +61,9 @@
 	// nextCheck is when onSilence is called; both belong to the request that uses the connection.
 	nextCheck time.Time
 	onSilence silenceFunc
-	// reused is set if the connection has carried a request before, and carried holds the ids of the latest ones.
+	// reused is set if the connection has carried a request before, and carried holds the hashes of the ids of all.
 	reused  bool
-	carried []string
+	carried []uint64
 	// idleUntil is when the idle connection must no longer be used.
 	idleUntil time.Time
 	// dataReceived is set when the target has sent data since the request was sent. lastHeardAt is the
@@ -133,17 +135,14 @@
 	return c.Conn.Read(b)
 }
 
-// maxCarried is the number of requests whose ids a connection keeps: a second copy of a response arrives before the
-// responses to so many later requests.
-const maxCarried = 16
+// maxCarried is the number of requests after which a connection is closed, which bounds the hashes that it keeps.
+const maxCarried = 256
 
 // recordCarried records that the connection carries a request.
-func (c *conn) recordCarried(id string) {
-	if len(c.carried) == maxCarried {
-		c.carried = append(c.carried[:0], c.carried[1:]...)
-	}
-	c.carried = append(c.carried, id)
-}
+func (c *conn) recordCarried(id string) { c.carried = append(c.carried, xxhash.Sum64String(id)) }
+
+// hasCarried reports whether the connection has carried a request with an id.
+func (c *conn) hasCarried(id string) bool { return slices.Contains(c.carried, xxhash.Sum64String(id)) }
 
 // roundTrip sends a request and returns the next response with its header.
 func (c *conn) roundTrip(r *http.Request) (*http.Response, error) {
--- a/internal/relay/connpool.go
+++ b/internal/relay/connpool.go
@@ -72,7 +72,7 @@
 	for i := len(list) - 1; i >= 0; i-- {
 		c := list[i]
 		expired := !now.Before(c.idleUntil)
-		if !expired && slices.Contains(c.carried, requestID) {
+		if !expired && c.hasCarried(requestID) {
 			continue
 		}
 		list = slices.Delete(list, i, i+1)
@@ -98,7 +98,7 @@
 		p.idle = map[netip.AddrPort][]*conn{}
 	}
 	list := p.idle[c.address]
-	if len(list) >= maxIdlePerTarget || !now.Before(c.idleUntil) {
+	if len(list) >= maxIdlePerTarget || len(c.carried) >= maxCarried || !now.Before(c.idleUntil) {
 		_ = c.Close()
 		return
 	}
