Return a target's redirect to the caller instead of following it

What callers saw: a repeatable call whose target answers 302 was sent on to whatever address the answer names, and its caller got that address's answer. Polls and orders followed redirects too.

Cause: http.Client follows redirects by itself. Calls that run once write to their connection directly and return the redirect.

Change: the client for targets returns a redirect as the answer.

Test red before: TestRepeatableCallFollowsRedirect (the address that no catalogue names was reached).

--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -19,7 +19,7 @@
 // next request on the connection with it, since answers on the own interface do not name their request.
 func NewClient(dialTimeout time.Duration) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
+	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, address)
 			if t, ok := c.(*net.TCPConn); ok {
@@ -31,5 +31,8 @@
 		DisableCompression: true,
 		ReadBufferSize:     2 << 10,
 		WriteBufferSize:    2 << 10,
-	}}
+	}
+	// A redirect is an answer like any other: its address is not one of the catalogue's.
+	returnRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &http.Client{Transport: transport, CheckRedirect: returnRedirect}
 }
