Bound the header that the client for repeatable calls reads

What callers saw: nothing by itself; a target that sends a header without end made the instance read and hold up to 10 MiB for each repeatable call, poll or order, for 15 to 20 s, where calls that run once and generations stop at 32 KiB.

Cause: http.Transport's default bound on a response's header, 10 MiB. The bound of 32 KiB was set on the other two paths only.

Change: MaxResponseHeaderBytes of the client for targets is that bound.

--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -31,6 +31,8 @@
 		DisableCompression: true,
 		ReadBufferSize:     2 << 10,
 		WriteBufferSize:    2 << 10,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	// A redirect is an answer like any other: its address is not one of the catalogue's.
 	returnRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/internal/server/endless_test.go
+++ b/internal/server/endless_test.go
@@ -51,3 +51,39 @@
 		})
 	}
 }
+
+// TestEndlessHeaderOfRepeatableCall guards against a target whose header without end the client for repeatable calls,
+// polls and orders holds in memory.
+func TestEndlessHeaderOfRepeatableCall(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	sent := make(chan int, 1)
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		_ = c.(*net.TCPConn).SetWriteBuffer(socketBytes)
+		_, _ = c.Read(make([]byte, 4<<10))
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n"))
+		total := 0
+		for total < 8<<20 {
+			n, err := c.Write([]byte("X-A: " + strings.Repeat("b", 1000) + "\r\n"))
+			if total += n; err != nil {
+				break
+			}
+		}
+		sent <- total
+	}()
+	_, err = NewClient(time.Second).Get("http://" + ln.Addr().String())
+	require.Error(t, err)
+	select {
+	case total := <-sent:
+		// The kernel's buffers hold some more.
+		require.LessOrEqual(t, total, 16*maxHeaderBytes)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the instance still reads")
+	}
+}
