Count a stream's first event as evidence when it comes, not when the stream ends

Cause: the time to a stream's first event was reported with the attempt's end. Streams last for seconds, so the decider of a rollout knew of 18 of the 52 requests that the version had got, and would find a version that begins slowly only as its streams end.

Change: the relay reports the time to the first event when it comes, and the attempt's end without it. What is needed is as before: 20 results, and evidence on failures from requests that ended.

Test red before: TestRunningStreamIsNoEvidence.

Ruled out: a share that is too small (52 of 62 allowed requests were sent to the version).

--- a/internal/relay/versions.go
+++ b/internal/relay/versions.go
@@ -119,6 +119,20 @@
 	return false
 }
 
+// observeFirstEvent reports the time to the first event of a stream as evidence about its target's version, long before
+// the stream ends.
+func (a *attempt) observeFirstEvent(now time.Time) {
+	if observe := a.relay.Targets.ObserveResult; observe != nil {
+		r := a.newResult()
+		r.FirstToken = now.Sub(a.startedAt)
+		observe(now, a.req.poolName, r)
+	}
+}
+
+func (a *attempt) newResult() version.Result {
+	return version.Result{Version: a.target.Version, Route: a.req.route.Name, Expected: a.req.route.Objective}
+}
+
 // observeResult reports the result of an attempt as evidence about its target's version. A refusal and an
 // attempt that was given up for other reasons say nothing.
 func (a *attempt) observeResult(now time.Time, result engine.RequestResult) {
@@ -126,7 +140,7 @@
 	if observe == nil || a.info.NotRun || !a.sent {
 		return
 	}
-	r := version.Result{Version: a.target.Version, Route: a.req.route.Name, Expected: a.req.route.Objective}
+	r := a.newResult()
 	failed := result.Failed || result.Unreachable || a.status() >= http.StatusInternalServerError
 	if !result.Cancelled {
 		r.Ended, r.Failed = true, failed
@@ -135,15 +149,12 @@
 		r.LostTarget = a.target.ID
 	}
 	switch {
-	case !a.firstEventAt.IsZero():
-		r.FirstToken = a.firstEventAt.Sub(a.startedAt)
-		if a.eventCount > 1 {
-			r.TokenInterval = a.lastEventAt.Sub(a.firstEventAt) / time.Duration(a.eventCount-1)
-		}
-	case r.Ended && !failed:
+	case a.eventCount > 1:
+		r.TokenInterval = a.lastEventAt.Sub(a.firstEventAt) / time.Duration(a.eventCount-1)
+	case a.eventCount == 0 && r.Ended && !failed:
 		r.FirstToken = now.Sub(a.startedAt)
 	}
-	if r.Ended || r.FirstToken > 0 {
+	if r.Ended || r.TokenInterval > 0 {
 		observe(now, a.req.poolName, r)
 	}
 }
