Compare all results of a rollout once when it is decided

Cause: at the deadline a version went on unless the sequential test had found it bad. That test may be evaluated at any time, so it needs more results for the same certainty, and the results of the final time were judged by themselves only.

Change: one more test, evaluated at the deadline and at the end only. It sums the version's bad results over all windows, with their exact distribution given the number of bad results in each window, so that an outage of both versions is no evidence; at the end the results of the final time are added with the old version's known rate.

--- a/internal/rollout/norace_test.go
+++ b/internal/rollout/norace_test.go
@@ -7,4 +7,6 @@
 const (
 	goodSeeds = 1000
 	badSeeds  = 100
+	// knowablePlays is the number of plays for each load and rate of failures.
+	knowablePlays = 40
 )
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -11,6 +11,8 @@
 	// few results of an interval of seconds, smaller rates are not distinguishable from chance; the test for a bad version
 	// finds them where there are more.
 	extraFailures = 0.25
+	// harmRate is the probability that a good version is taken back because its results look worse when it is decided.
+	harmRate = 0.005
 	// holdAfterHarm is how long a change takes no further step after the last sign of harm: an interval is
 	// seconds long.
 	holdAfterHarm = time.Second
@@ -91,6 +93,7 @@
 func (t *timetable) limits() version.Limits {
 	l := version.DefaultLimits()
 	l.ControlShare, l.HoldAfterHarm, l.ExtraFailures, l.TrialUntilDeadline = 0, holdAfterHarm, extraFailures, true
+	l.DeadlineHarmRate = harmRate
 	l.KeepWarm = t.closes.Sub(t.decides)
 	return l
 }
--- a/internal/rollout/race_test.go
+++ b/internal/rollout/race_test.go
@@ -6,4 +6,6 @@
 const (
 	goodSeeds = 100
 	badSeeds  = 10
+	// knowablePlays is the number of plays for each load and rate of failures.
+	knowablePlays = 2
 )
--- a/pkg/version/change.go
+++ b/pkg/version/change.go
@@ -22,6 +22,9 @@
 	// TrialUntilDeadline is set if a change stays in its trial until its deadline, at which it is decided without
 	// growing in between: the requests that a version gets before then are bounded by the largest share.
 	TrialUntilDeadline bool
+	// DeadlineHarmRate is the probability that all results of a good version together are taken for harm when the change is
+	// decided; 0 means that only the sequential test judges them.
+	DeadlineHarmRate float64
 }
 
 // DefaultLimits returns the default limits.
--- a/pkg/version/deadline.go
+++ b/pkg/version/deadline.go
@@ -18,6 +18,8 @@
 		return c.rollBack(now, "too_few_targets_by_deadline", false)
 	case record.Wealth >= suspicionWealth || record.Wealth >= calmWealth && c.evidence.Alarm():
 		return c.rollBack(now, "signs_of_harm_by_deadline", false)
+	case c.evidence.showsHarm(c.Limits.DeadlineHarmRate, nil):
+		return c.rollBack(now, "worse_by_deadline", false)
 	case c.Limits.TrialUntilDeadline && record.New.Requests >= minStepResults && c.logOddsAtLeast(minFinalLogOdds, nil):
 		record.Share = c.maxShare()
 		c.finalFrom = record.New
--- a/pkg/version/final.go
+++ b/pkg/version/final.go
@@ -24,6 +24,8 @@
 		return nil
 	case c.held:
 		return c.rollBack(now, "signs_of_harm_at_end", false)
+	case c.evidence.showsHarm(c.Limits.DeadlineHarmRate, &final):
+		return c.rollBack(now, "worse_at_end", false)
 	case now.Before(c.CloseAfter):
 		return c.rollBack(now, "exposure_limit_at_end", false)
 	case max(record.New.Requests, record.New.FirstTokens)-record.New.Failed < minDeadlineResults || !c.logOddsAtLeast(math.Log(1/deadlineFalseAcceptRate), &final):
--- a/pkg/version/sequential.go
+++ b/pkg/version/sequential.go
@@ -121,6 +121,7 @@
 	recentNew recentResults
 	recentOld recentResults
 	tests     [defectKinds]mixtureTest
+	harm      [defectKinds]harmTest
 }
 
 // Verdict is the result of the tests; the version is bad at a wealth of 1/Alpha.
@@ -200,6 +201,7 @@
 		return
 	}
 	re.tests[k].addWindow(k, newTotal, newBad, oldTotal, oldBad)
+	re.harm[k].addWindow(k, newTotal, newBad, oldTotal, oldBad)
 	re.window.Old.clearKind(k)
 	re.window.New.clearKind(k)
 }
