Refuse a call that a stopping instance may not finish

Another operator's report: in a planned stop requests that came late were taken, passed on and cut at the end of the grace, among them requests that may not be repeated. What callers of internal/server saw: a call that is taken during the drain and outlasts the stop is answered 502, "it may have run", though another instance could have run it to its end.

Cause: during the drain an instance took requests of any length. Nothing compared their deadlines with the end of the stop.

Change: a call that must not be repeated and whose deadline lies after the end of the stop is refused at once as not run, also if its body arrives during the drain. Streams and repeatable calls are taken as before: they go on elsewhere from their cursor, or may be sent again.

Test red before: TestCallTakenDuringDrainIsCutOff (502, reached the target). A call with a deadline before the end is still taken.

Weighed: to refuse only what is expected to outlast the stop. A mean says nothing about the one call that is cut, and a refusal costs its caller one round trip to another instance.

--- a/internal/server/call.go
+++ b/internal/server/call.go
@@ -68,6 +68,10 @@
 	if err != nil {
 		return err
 	}
+	if !c.repeatable() && s.mayOutlastStop(c.deadline) {
+		// Another instance can run it to its end; what is cut here may have run, and must not be repeated.
+		return leavingRefusal()
+	}
 	release, err := s.Admitter.Admit(r.Context(), Work{Entry: c.entry, Workspace: c.workspace, Deadline: c.deadline, Now: c.now, Request: c.id, CurrentVersion: func() string { return s.currentVersion(c) }})
 	if err != nil {
 		return err
--- a/internal/server/interrupt.go
+++ b/internal/server/interrupt.go
@@ -39,6 +39,12 @@
 	}
 }
 
+// mayOutlastStop reports whether a stop that has begun may interrupt a request with a deadline.
+func (s *Server) mayOutlastStop(deadline time.Time) bool {
+	at := s.interruptsAt.Load()
+	return at != nil && deadline.After(*at)
+}
+
 // interruptRefusal returns the answer to an interrupted request whose handler returned err.
 func interruptRefusal(err error) *Refusal {
 	if f := (*Refusal)(nil); errors.As(err, &f) && f.Outcome == generation.NotRun {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -75,11 +75,13 @@
 	stopContext       context.Context
 	interruptRequests context.CancelCauseFunc
 	membership        membership
-	// leaving is set when a graceful stop begins, rejectNew when new requests are refused.
-	leaving   atomic.Bool
-	rejectNew atomic.Bool
-	tokenGaps gapTable
-	resumes   resumeQueues
+	// leaving is set when a graceful stop begins, rejectNew when new requests are refused, and interruptsAt is when
+	// that stop interrupts requests.
+	leaving      atomic.Bool
+	rejectNew    atomic.Bool
+	interruptsAt atomic.Pointer[time.Time]
+	tokenGaps    gapTable
+	resumes      resumeQueues
 	// activeHandlers counts requests in handlers. cutOff and graceful record how Run ended.
 	activeHandlers atomic.Int64
 	cutOff         atomic.Bool
@@ -193,6 +195,8 @@
 		return s.closeNow()
 	case <-stop.Done():
 	}
+	interruptsAt := time.Now().Add(s.Limits.DrainPeriod + s.Limits.StopTimeout)
+	s.interruptsAt.Store(&interruptsAt)
 	s.leaving.Store(true)
 	s.callers.BeginStop()
 	s.announceLeave(ctx)
--- a/internal/server/stop_timeout_test.go
+++ b/internal/server/stop_timeout_test.go
@@ -116,6 +116,41 @@
 	in.waitStopped(t)
 }
 
+// TestCallTakenDuringDrainIsCutOff guards against a call that must not be repeated and that a stopping instance takes although it
+// may not end before the stop does, so that its caller learns only that it may have run.
+func TestCallTakenDuringDrainIsCutOff(t *testing.T) {
+	g := &recordingTarget{delay: 1500 * time.Millisecond}
+	in := startStopInstance(t, g, 400*time.Millisecond, 400*time.Millisecond)
+	kept, fresh, short := openRaw(t, in), openRaw(t, in), openRaw(t, in)
+	upload := openRaw(t, in)
+	raw := rawRequest("call", "upload")
+	_, err := io.WriteString(upload, raw[:len(raw)-1])
+	require.NoError(t, err)
+	_, err = io.WriteString(kept, rawRequest("repeatable", "first"))
+	require.NoError(t, err)
+	_, err = kept.answer()
+	require.NoError(t, err)
+	in.stop()
+	time.Sleep(100 * time.Millisecond)
+	for c, text := range map[*rawConn]string{
+		kept: rawRequest("call", "kept"), fresh: rawRequest("call", "fresh"), upload: raw[len(raw)-1:],
+		short: strings.Replace(rawRequest("call", "short"), "Host: x\r\n", "Host: x\r\nBambooferry-Deadline: 200\r\n", 1),
+	} {
+		_, err := io.WriteString(c, text)
+		require.NoError(t, err)
+	}
+	for id, c := range map[string]*rawConn{"kept": kept, "fresh": fresh, "upload": upload} {
+		a, err := c.answer()
+		require.NoError(t, err, id)
+		require.NoError(t, a.checkLeaving(g, id), id)
+		require.Equal(t, http.StatusServiceUnavailable, a.status, id)
+	}
+	a, err := short.answer()
+	require.NoError(t, err)
+	require.True(t, g.reached("short"), "it ends before the stop does: %s", a.body)
+	in.waitStopped(t)
+}
+
 // TestHeaderBeforeStopTimeout guards against a request without an answer whose header is complete shortly before the stop timeout, and against a stop that waits for a header that never is.
 func TestHeaderBeforeStopTimeout(t *testing.T) {
 	g := &recordingTarget{}
