Test that no request late in the grace period is taken and cut off

Another operator's report, on the relay: requests that came late in the grace were taken, passed on and cut with no answer. No change of the product.

--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -244,6 +244,7 @@
 	{Name: "book", Host: "h.example", Prefix: "/book/", Kind: route.Once, MaxAttempts: 1, Timeout: 5 * time.Second, PoolWeights: []route.PoolWeight{{Pool: "p", Weight: 1}}},
 	{Name: "draft", Host: "h.example", Prefix: "/draft/", Kind: route.Streaming, Resumable: true, MaxAttempts: 5, Timeout: 10 * time.Second, Objective: time.Second, MaxPause: 700 * time.Millisecond, PoolWeights: []route.PoolWeight{{Pool: "p", Weight: 1}}},
 	{Name: "once", Host: "h.example", Prefix: "/once/", Kind: route.Streaming, MaxAttempts: 5, Timeout: 10 * time.Second, PoolWeights: []route.PoolWeight{{Pool: "p", Weight: 1}}},
+	{Name: "untimed", Host: "h.example", Prefix: "/untimed/", Kind: route.Once, MaxAttempts: 1, PoolWeights: []route.PoolWeight{{Pool: "p", Weight: 1}}},
 	{Name: "quick", Host: "h.example", Prefix: "/quick/", Kind: route.Repeatable, MaxAttempts: 1, Timeout: 300 * time.Millisecond, PoolWeights: []route.PoolWeight{{Pool: "p", Weight: 1}}},
 	{Name: "open", Host: "h.example", Prefix: "/open/", Kind: route.Repeatable, Public: true, MaxAttempts: 1, Timeout: time.Second, PoolWeights: []route.PoolWeight{{Pool: "p", Weight: 1}}},
 }
