Judge only failures when all results of a rollout are compared

Change: the comparison at the deadline and at the end judges failures only. A new version starts with cold caches on few targets, and slowness was left to the sequential test before.

--- a/pkg/version/sequential.go
+++ b/pkg/version/sequential.go
@@ -121,7 +121,7 @@
 	recentNew recentResults
 	recentOld recentResults
 	tests     [defectKinds]mixtureTest
-	harm      [defectKinds]harmTest
+	harm      harmTest
 }
 
 // Verdict is the result of the tests; the version is bad at a wealth of 1/Alpha.
@@ -201,7 +201,9 @@
 		return
 	}
 	re.tests[k].addWindow(k, newTotal, newBad, oldTotal, oldBad)
-	re.harm[k].addWindow(k, newTotal, newBad, oldTotal, oldBad)
+	if k == Failing {
+		re.harm.addWindow(newTotal, newBad, oldTotal, oldBad)
+	}
 	re.window.Old.clearKind(k)
 	re.window.New.clearKind(k)
 }
