--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -67,6 +67,9 @@
 	ContentEncoded bool
 	// Load is the target's load, if it is given.
 	Load *engine.Load
+	// Slowness is the time that work takes on the target's machine now, relative to the usual time, or 0 if the target
+	// does not say.
+	Slowness float64
 	// KeepAlive is how long the target keeps an idle connection, or 0 if it does not say.
 	KeepAlive time.Duration
 	// Leaving reports whether the target states that it is leaving.
--- a/pkg/engine/report.go
+++ b/pkg/engine/report.go
@@ -20,6 +20,14 @@
 	maxClockAhead = time.Second
 )
 
+const (
+	minSlowness = 0.05
+	maxSlowness = 20
+)
+
+// ValidSlowness reports whether a target may state that work takes x times as long as usual on its machine.
+func ValidSlowness(x float64) bool { return x >= minSlowness && x <= maxSlowness }
+
 // ReportError reports a value in an engine's report that is out of range or out of order.
 type ReportError struct {
 	Field string
