Tell pools apart whose streams differ in priority

Cause: parts that serve contended pools must not take effect on pools whose callers are all alike. Change: Table.PrioritiesDiffer, which looks at the streaming routes of workspaces only. Ruled out: priorities of workspaces, which differ on all deployments.

--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -163,6 +163,24 @@
 	return p, ok
 }
 
+// PrioritiesDiffer reports whether the streams of workspaces that go to a pool have different priorities, by their
+// routes.
+func (t *Table) PrioritiesDiffer(pool string) bool {
+	first, found := 0, false
+	for _, list := range t.routes {
+		for _, r := range list {
+			if r.Kind != Streaming || r.Public || !slices.ContainsFunc(r.PoolWeights, func(w PoolWeight) bool { return w.Pool == pool && w.Weight > 0 }) {
+				continue
+			}
+			if found && r.Priority != first {
+				return true
+			}
+			first, found = r.Priority, true
+		}
+	}
+	return false
+}
+
 // PoolNames returns the names of all pools, sorted.
 func (t *Table) PoolNames() []string {
 	names := make([]string, 0, len(t.pools))
