Go on at the backup engine when a stream is lost before its first event

Cause: a stream whose engine is lost while it reads the prompt starts again elsewhere, and the prompt is read again, although the backup engine has a copy of what was read. Change: in pools that are placed by expected work, an attempt that was sent and is lost without an answer, or without an event, is followed by one at its backup engine. Pools count as such if their streams differ in priority or a target has stated how slow its machine is; others go on as before. Ruled out: a copy after a refusal, which cannot exist.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"time"
 
@@ -65,6 +66,8 @@
 	firstEventAt time.Time
 	lastEventAt  time.Time
 	eventCount   int
+	// backupEngine is the engine that the target copies the run's KV cache to.
+	backupEngine netip.AddrPort
 	// onTrial is set if the attempt replaces one at a target that is expected to go on.
 	onTrial bool
 	// finished is set when the attempt's result is recorded.
@@ -122,6 +125,7 @@
 		if a.info.RequestID == "" || a.info.RequestID == a.req.ID {
 			a.res = res
 			a.req.pool.recordLoad(a.target, a.info.Load)
+			a.req.pool.recordSlowness(a.info.Slowness)
 			a.recordStatements(time.Now())
 			return nil
 		}
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -97,10 +97,14 @@
 	isUser   func(target string, users int) bool
 	rank     func(key string) int
 	// turn is the last turn for which rank was called, and turnRank its result.
-	turn            int64
-	turnRank        int
-	split           version.Split
-	allowance       *version.Allowance
+	turn      int64
+	turnRank  int
+	split     version.Split
+	allowance *version.Allowance
+	// contended is set if the pool's streams have different priorities, statesSlowness once a target has stated how slow its
+	// machine is. Either calls for placement by expected work.
+	contended       bool
+	statesSlowness  bool
 	progressChanged chan struct{}
 	// removedAt is when the table no longer had the pool, or zero; the registry's lock guards it.
 	removedAt time.Time
@@ -122,6 +126,7 @@
 		}
 		conf, _ := table.Pool(name)
 		p.update(now, conf, targets[name])
+		p.setContended(table.PrioritiesDiffer(name))
 		p.removedAt = time.Time{}
 		r.pools[name] = p
 	}
