--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"net/url"
 	"time"
 
@@ -66,8 +65,6 @@
 	firstEventAt time.Time
 	lastEventAt  time.Time
 	eventCount   int
-	// backupEngine is the engine that the target copies the run's KV cache to.
-	backupEngine netip.AddrPort
 	// onTrial is set if the attempt replaces one at a target that is expected to go on.
 	onTrial bool
 	// finished is set when the attempt's result is recorded.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -384,9 +384,5 @@
 		return
 	}
 	st.currentAttempt = nil
-	if current.isUnanswered() && st.req.pool.placesByWork() {
-		// The backup engine may have a copy of what the lost one had read of the prompt.
-		st.backupEngine = current.backupEngine
-	}
 	current.finish(time.Now(), result, complete, reason)
 }
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -48,7 +48,7 @@
 		info.BackupEngine = b.Address
 	}
 	current := st.relay.newAttempt(now, st.req, t, action.Attempt, reason, chosen.load)
-	current.onTrial, current.backupEngine = chosen.onTrial, info.BackupEngine
+	current.onTrial = chosen.onTrial
 	st.currentAttempt = current
 	st.gen.Timeouts = st.silenceTimeouts()
 	st.openAttempt(current, info)
@@ -69,7 +69,7 @@
 // chooseTarget returns a target, if possible the engine that holds a copy of the run's KV cache, or
 // nil if there is none.
 func (st *streamHandler) chooseTarget(now time.Time, criteria targetCriteria) *reservation {
-	if st.backupEngine.IsValid() && (st.gen.Position > 0 || st.req.pool.placesByWork()) {
+	if st.backupEngine.IsValid() && st.gen.Position > 0 {
 		if t, ok := st.req.pool.targetAt(now, st.backupEngine); ok {
 			criteria.preferredTarget = t.ID
 		}
