Elect holders of the platform's duties through the store, and make their calls

Cause: usage reports and the number of targets need one instance at a time that acts for all, with a token that grows. Change: pkg/duty decides when an instance tries for a duty, and until when it holds it; internal/duty executes that with calls to the store, and shares the accepted rate of calls. platform reads the settings of the duties and the limits of a pool's number of targets, and has the client of the duty interface. Nothing runs and no store call is made unless cloud.duties names a duty. Ruled out: an error for the whole configuration or all settings because of a malformed part of a duty.

--- a/internal/duty/errors.go
+++ b/internal/duty/errors.go
@@ -21,3 +21,10 @@
 type RateError struct{}
 
 func (e *RateError) Error() string { return "the platform refused a call for the rate of calls" }
+
+// StatusError reports a response that does not state whether the call was executed.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("the platform responded with status %d", e.Status)
+}
--- a/internal/relay/config_applier.go
+++ b/internal/relay/config_applier.go
@@ -77,6 +77,9 @@
 		Kind: "table_in_force", Revision: t.Version, Member: source,
 		Inputs: []timeline.Input{{Name: "store_revision", Value: item.Revision}, {Name: "routes", Value: int64(t.RouteCount())}},
 	})
+	for _, err := range t.Problems {
+		c.Log.Write(now, timeline.Event{Kind: "table_part_unusable", Revision: t.Version, Why: err.Error(), Decision: "ignored"})
+	}
 }
 
 func (c *ConfigApplier) applyTarget(now time.Time, id string, item *feed.Item) {
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -82,6 +82,16 @@
 	MaxConnections int `json:"max_connections,omitempty"`
 	// Model is set for pools of model engines.
 	Model *EngineSpec `json:"model,omitempty"`
+	// Scaling is set for pools whose number of targets is adapted to their load.
+	Scaling *ScalingSpec `json:"scaling,omitempty"`
+}
+
+// ScalingSpec limits the number of targets of a pool in each data centre.
+type ScalingSpec struct {
+	Min int `json:"min"`
+	Max int `json:"max"`
+	// BootTime is the time from the order of a target until it serves.
+	BootTime time.Duration `json:"boot_time"`
 }
 
 // EngineSpec describes the capacity of the engines of a pool.
@@ -113,6 +123,8 @@
 type Table struct {
 	Version int64
 	Limits  Limits
+	// Problems are the parts of the configuration that can't be used and are ignored.
+	Problems []error
 
 	routes       map[string][]*Route
 	pools        map[string]*Pool
