Make a new process wait as long as a former holder

Cause: a property test with 4000 cases found a holder in the order A, B, A: A's process was restarted, and won again 3 s after its start, when a delayed call of its former process had been executed 50 ms after the start. It also found that the former holder that a record names was ignored if the news of it came before the first decision. Change: a new process waits for twice the separation. The time of its start is that of the first event. A key that a former process has left counts as held by this instance. Result: go test -race passes on pkg/duty; internal/duty passes with 6000 cases of the property (32 s without the race detector). Ruled out: the separation alone, which leaves no time for calls that the platform executes late.

--- a/pkg/duty/action.go
+++ b/pkg/duty/action.go
@@ -39,9 +39,7 @@
 // Next returns the next action. The rank is this instance's place among the candidates, or negative; the nonce is used
 // for at most one write and must not be repeated.
 func (e *Elector) Next(now time.Time, rank int, nonce string) Action {
-	if e.startedAt.IsZero() {
-		e.startedAt = now
-	}
+	e.start(now)
 	if e.holds && !now.Before(e.term.Until) {
 		e.end(now, LeaseEnded)
 	}
@@ -105,7 +103,7 @@
 	}
 	// Before its end by its own clock, a holder of the store's former era may still act. A former process of this
 	// instance, or a term whose end was not seen by others, may have been followed by another holder that is not known.
-	at := maxTime(e.startedAt.Add(e.Separation), e.eraSeenAt.Add(LeaseTTL))
+	at := maxTime(e.startedAt.Add(2*e.Separation), e.eraSeenAt.Add(LeaseTTL))
 	if !e.endedAt.IsZero() {
 		at = maxTime(at, e.endedAt.Add(2*e.Separation))
 	}
--- a/pkg/duty/elector.go
+++ b/pkg/duty/elector.go
@@ -179,8 +179,16 @@
 	}
 }
 
+// start records the time of the first event.
+func (e *Elector) start(now time.Time) {
+	if e.startedAt.IsZero() {
+		e.startedAt = now
+	}
+}
+
 // Observe records a state of the key; earlier ones than the latest known are ignored.
 func (e *Elector) Observe(now time.Time, k KeyState) {
+	e.start(now)
 	if e.known && k.compare(&e.seen) < 0 {
 		return
 	}
@@ -223,8 +231,12 @@
 	}
 }
 
-// observeOther records that another instance holds the key.
+// observeOther records that another instance, or a former process of this one, holds the key.
 func (e *Elector) observeOther(now time.Time, k *KeyState) {
+	if k.Record.Instance == e.Instance {
+		e.held, e.endedAt = true, now
+		return
+	}
 	e.otherSeenAt, e.other = now, k.Record.Instance
 	// A new process does not remember a term of the former one, but the next holder does.
 	if k.Record.Former == e.Instance && now.Sub(e.startedAt) < 2*e.Separation {
