Let the relay report when a request of a workspace began to run

Cause: usage counts a request in the window in which it began to run, which only the relay knows.

Change: Relay.ObserveStart, if set, is called once for each request id: at the first event of a stream, whichever attempt it came from; at the answer of a target to a call, unless the target states that it did not run the call; or when a sent call was lost without that statement. Nothing is called without the hook, as before.

Ruled out: counting at the end of a request, since a stream may run for longer than a window; and counting failed streams without an event, since nothing tells that they began to run.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -222,6 +222,9 @@
 	if result.err != nil {
 		// If the connection could not be established, nothing of the request was sent.
 		result.notRun = !a.sent
+		if a.sent {
+			a.relay.recordStart(now, a.req)
+		}
 		cancelled := errors.Is(ctx.Err(), context.Canceled) || isMarkedError(result.err)
 		a.wentSilent = isSilence(result.err)
 		reason := lossReason(result.err)
@@ -237,6 +240,7 @@
 		a.finish(time.Now(), engine.RequestResult{Failed: a.res.StatusCode != http.StatusMisdirectedRequest, Unreachable: a.res.StatusCode == http.StatusMisdirectedRequest}, err == nil, "not_run")
 		return result
 	}
+	a.relay.recordStart(now, a.req)
 	result.readBody()
 	if result.unread != nil && !a.info.Sealed {
 		// Nothing proves that these bytes are the target's answer, or bounds them.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -64,6 +64,8 @@
 	// time to take the instance out.
 	GracePeriod         time.Duration
 	DeregistrationDelay time.Duration
+	// ObserveStart, if set, is called once for each request of a workspace, when it began to run at a target.
+	ObserveStart func(now time.Time, workspace string)
 
 	targetConns   connPool
 	callers       callerconn.HTTPServer
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -51,6 +51,8 @@
 	needsNewConn atomic.Bool
 	// sent is set when an attempt of the request has been sent.
 	sent atomic.Bool
+	// started is set when the request has begun to run.
+	started atomic.Bool
 	// disableInterrupt lets the request go on after the time at which a stop interrupts requests.
 	disableInterrupt func() bool
 }
@@ -284,6 +286,13 @@
 	r.Log.Write(now, ev)
 }
 
+// recordStart reports to ObserveStart, once for each request of a workspace, that it has begun to run.
+func (r *Relay) recordStart(now time.Time, req *callerRequest) {
+	if r.ObserveStart != nil && req.workspace != nil && !req.started.Swap(true) {
+		r.ObserveStart(now, req.workspace.Name)
+	}
+}
+
 func routeName(req *callerRequest) string {
 	if req.route == nil {
 		return ""
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -310,6 +310,7 @@
 	if current.firstEventAt.IsZero() {
 		current.firstEventAt = now
 		st.req.pool.recordFirstOutput(now, current.target)
+		st.relay.recordStart(now, st.req)
 		current.observeFirstEvent(now)
 	}
 	if current.eventCount >= soundAnswerEvents && now.Sub(current.firstEventAt) >= suspectAnswerTime {
