--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -67,3 +67,24 @@
 		x.HandleMessage(time.Now(), []byte(m))
 	}
 }
+
+// Guards against an instance of a build without usage reports that stops receiving when it gets their messages.
+func TestUnknownKindsAreDropped(t *testing.T) {
+	var none []netip.AddrPort
+	a, b := startSocket(t, &none), startSocket(t, &none)
+	received := make(chan string, 1)
+	b.Handle(KindProgress, func(_ time.Time, data []byte) { received <- string(data) })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = b.Run(ctx) }()
+	to := []netip.AddrPort{addressOf(b)}
+	for _, k := range []Kind{KindUsageCounts, KindUsageAcknowledgement, KindProgress} {
+		require.True(t, a.Send(k, []byte(`{"instance":"a"}`), to))
+	}
+	select {
+	case got := <-received:
+		require.Equal(t, `{"instance":"a"}`, got)
+	case <-time.After(3 * time.Second):
+		t.Fatal("no message arrived")
+	}
+}
--- a/internal/gossip/socket.go
+++ b/internal/gossip/socket.go
@@ -26,6 +26,9 @@
 	KindConfirmation Kind = 'k'
 	// KindCrashReport reports requests that crash targets.
 	KindCrashReport Kind = 'c'
+	// KindUsageCounts carries the requests that an instance has counted, and KindUsageAcknowledgement the answer.
+	KindUsageCounts          Kind = 'u'
+	KindUsageAcknowledgement Kind = 'v'
 )
 
 // Socket sends and receives messages; call Handle before Run.
--- a/pkg/usage/clock.go
+++ b/pkg/usage/clock.go
@@ -63,6 +63,7 @@
 type clockStatements struct {
 	offsets [statementCount]time.Duration
 	next, n int
+	wall    time.Time
 	at      time.Time
 }
 
@@ -95,8 +96,13 @@
 		s = &clockStatements{}
 		c.statements[instance] = s
 	}
-	s.offsets[s.next] = wall.Sub(now)
-	s.next, s.n, s.at = (s.next+1)%statementCount, min(s.n+1, statementCount), now
+	s.at = now
+	if s.n > 0 && wall.Equal(s.wall) {
+		// This is a further part of a message that was split.
+		return
+	}
+	s.wall, s.offsets[s.next] = wall, wall.Sub(now)
+	s.next, s.n = (s.next+1)%statementCount, min(s.n+1, statementCount)
 }
 
 func (c *ClockEstimate) expire(now time.Time) {
--- a/pkg/usage/planner.go
+++ b/pkg/usage/planner.go
@@ -201,20 +201,25 @@
 func (p *Planner) nextRecord(s *Status, totals func(window int64) map[string]int64) *Record {
 	last := WindowOf(s.True.Add(-closeDelay), p.Window) - 1
 	first := WindowOf(s.True, p.Window) - KeptWindows + 1
-	if latest := p.latest(); latest > 0 && latest+1 < first {
+	switch latest := p.latest(); {
+	case latest == 0:
+		// There is nothing to report of the time before the first instance.
+		first = max(first, WindowOf(s.trueTime(p.eraSince), p.Window))
+	case latest+1 < first:
 		p.skip(latest+1, first-1, SkippedOld)
-	} else {
+	default:
 		first = max(first, latest+1)
 	}
 	var added []Report
 	for w := first; w <= last; w++ {
+		if !p.isComplete(s, w) {
+			break
+		}
+		// The bound of the clock's error, on which this depends, is large until the other instances are heard.
 		if why := p.forbidden(s, w); why != "" {
 			p.skip(w, w, why)
 			continue
 		}
-		if !p.isComplete(s, w) {
-			break
-		}
 		added = append(added, Report{Window: w, Counts: totals(w)})
 	}
 	if len(added)+len(p.carried) == 0 {
--- a/pkg/usage/planner_results.go
+++ b/pkg/usage/planner_results.go
@@ -61,15 +61,13 @@
 	p.floor = max(p.floor, former.Latest())
 }
 
-// HandleFailure records that a read or a write has failed, or that its outcome is unknown: the record is read again.
+// HandleFailure records that a read or a write has failed, that its outcome is unknown, or that another holder or a delayed
+// write of this one has written the record: it is read again.
 func (p *Planner) HandleFailure(now time.Time) {
 	p.isRead, p.pending = false, nil
 	p.retryAt = now.Add(readRetryDelay)
 }
 
-// HandleConflict records that the record was written by another holder, or by a delayed write of this one.
-func (p *Planner) HandleConflict() { p.isRead, p.pending = false, nil }
-
 // HandleWritten records that the pending record was written in an era, under the term with a token.
 func (p *Planner) HandleWritten(s *Status, token, era, revision int64) {
 	if token != p.token || p.pending == nil || era != p.termEra {
--- a/pkg/usage/property_test.go
+++ b/pkg/usage/property_test.go
@@ -144,7 +144,7 @@
 	revision, ok := in.store.commit(conditions, key, value)
 	in.status.Era = max(in.status.Era, in.store.era)
 	if !ok {
-		in.planner.HandleConflict()
+		in.planner.HandleFailure(in.status.Now)
 		return
 	}
 	in.planner.HandleWritten(&in.status, token, in.store.era, revision)
