--- a/internal/feed/membership.go
+++ b/internal/feed/membership.go
@@ -160,6 +160,20 @@
 	return lowerHashes
 }
 
+// FirstByRank returns the addresses of the first n members in the order of Rank for a key.
+func (m *Membership) FirstByRank(key string, n int) []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	keys := slices.SortedFunc(maps.Keys(m.members), func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(key+a), xxhash.Sum64String(key+b)), cmp.Compare(a, b))
+	})
+	list := make([]netip.AddrPort, 0, n)
+	for _, k := range keys[:min(len(keys), n)] {
+		list = append(list, m.members[k].Address)
+	}
+	return list
+}
+
 // Readers returns the instances that read the store for all, without this one.
 func (m *Membership) Readers() []Member {
 	m.mu.Lock()
--- a/internal/usage/exchange.go
+++ b/internal/usage/exchange.go
@@ -26,6 +26,12 @@
 	token int64
 }
 
+// Flush sends the last counts of this instance, which has ended to serve requests.
+func (r *Reporter) Flush(ctx context.Context) {
+	r.init()
+	r.exchange(ctx)
+}
+
 // exchange sends this instance's totals to the holder and the next candidates.
 func (r *Reporter) exchange(context.Context) {
 	now := r.Now()
