--- a/internal/usage/exchange.go
+++ b/internal/usage/exchange.go
@@ -13,9 +13,9 @@
 	// unchangedInterval is the time between two messages while the totals don't change.
 	unchangedInterval = time.Second
 	// acknowledgeInterval is the least time between two acknowledgements to an instance. With many instances it is
-	// acknowledgeSpacing for each, so that the holder sends some 20 KB a second at most.
+	// acknowledgeSpacing for each, so that the holder sends 12.5 KB a second at most, at 150 bytes each.
 	acknowledgeInterval = time.Second
-	acknowledgeSpacing  = 6 * time.Millisecond
+	acknowledgeSpacing  = 12 * time.Millisecond
 	// countsPause is the time without counts of others after which this instance may have missed some.
 	countsPause = 2500 * time.Millisecond
 )
