State the demand and the targets of pools that are scaled

Cause: the decision on the number of targets needs the requests of all instances, and how long a prompt takes to read. Change: the target registry states for each pool with scaling limits the rate and the requests in progress at all instances, a low quantile of the times to the first event, the targets by data centre, and whether a majority of the instances has been heard of.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -57,6 +57,34 @@
 	}
 }
 
+// Guards against idle instances that can't be told from lost ones, and against messages of idle instances where nothing
+// needs them.
+func TestEmptyProgressIsRepeatedIfNeeded(t *testing.T) {
+	for _, repeats := range []bool{false, true} {
+		var peersOfA, peersOfB []netip.AddrPort
+		a, b := startSocket(t, &peersOfA), startSocket(t, &peersOfB)
+		peersOfA = []netip.AddrPort{addressOf(b)}
+		received := make(chan string, 16)
+		receiver := &ProgressExchange{Instance: "b", ApplyRemote: func(_ time.Time, instance string, _ Progress) { received <- instance }}
+		b.Handle(KindProgress, receiver.HandleMessage)
+		sender := &ProgressExchange{Socket: a, Instance: "a", LocalProgress: func(time.Time) Progress { return Progress{} }}
+		if repeats {
+			sender.RepeatsEmpty = func() bool { return true }
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		for _, run := range []func(context.Context) error{a.Run, b.Run, sender.Run} {
+			go func() { _ = run(ctx) }()
+		}
+		select {
+		case <-received:
+			require.True(t, repeats)
+		case <-time.After(repeatInterval + repeatInterval/2):
+			require.False(t, repeats)
+		}
+		cancel()
+	}
+}
+
 // Guards against messages that are truncated or that crash the receiver.
 func TestMalformedMessagesAreDropped(t *testing.T) {
 	var none []netip.AddrPort
--- a/internal/gossip/progress.go
+++ b/internal/gossip/progress.go
@@ -103,6 +103,9 @@
 	LocalProgress func(now time.Time) Progress
 	// LocalChanged signals that LocalProgress has changed.
 	LocalChanged <-chan struct{}
+	// RepeatsEmpty, if set, reports whether a message with nothing in progress is repeated too, so that the others know
+	// that this instance is reachable.
+	RepeatsEmpty func() bool
 	// ApplyRemote applies the progress of another instance.
 	ApplyRemote func(now time.Time, instance string, progress Progress)
 }
@@ -116,7 +119,7 @@
 		select {
 		case <-x.LocalChanged:
 		case <-repeat.C:
-			if empty {
+			if empty && (x.RepeatsEmpty == nil || !x.RepeatsEmpty()) {
 				continue
 			}
 		case <-ctx.Done():
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -303,3 +303,9 @@
 		r.unread = res.Body
 	}
 }
+
+func (p *pool) recordResponseTime(took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hedgeDelays.Observe(took)
+}
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -5,7 +5,8 @@
 // stream.go for event streams, attempt.go (one attempt at one target), conn.go and connpool.go (the
 // connection), and response.go (the response to the caller).
 //
-// Decisions are made by pkg/route, pkg/engine, pkg/generation, pkg/booking and pkg/version. A TargetRegistry
+// Decisions are made by pkg/route, pkg/engine, pkg/generation, pkg/booking and pkg/version; demand.go collects the inputs
+// of pkg/scaling. A TargetRegistry
 // owns the state of the targets, with a lock for each pool; a connPool owns idle connections, under
 // its lock. Only the HeaderCodec knows a platform's headers.
 package relay
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -311,6 +311,7 @@
 		current.firstEventAt = now
 		st.req.pool.recordFirstOutput(now, current.target)
 		current.observeFirstEvent(now)
+		current.recordReading(now)
 	}
 	if current.eventCount >= soundAnswerEvents && now.Sub(current.firstEventAt) >= suspectAnswerTime {
 		current.recordAnswer(now, current.firstEventAt)
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -94,6 +94,7 @@
 	reachability route.Reachability
 	// arrivals measures the requests that this instance gets for the pool.
 	arrivals rateMeter
+	demand   demand
 	isUser   func(target string, users int) bool
 	rank     func(key string) int
 	// turn is the last turn for which rank was called, and turnRank its result.
@@ -179,7 +180,7 @@
 func (p *pool) update(now time.Time, conf *route.Pool, listed []route.Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.model, p.healthPath, p.listedTargets = conf.Model, conf.HealthPath, listed
+	p.model, p.healthPath, p.listedTargets, p.demand.spec = conf.Model, conf.HealthPath, listed, conf.Scaling
 	p.targets = p.successors.MergeInto(now, listed)
 	names := make([]string, 0, len(p.targets))
 	for _, t := range p.targets {
@@ -432,12 +433,6 @@
 	p.timeouts.ObserveGap(d)
 }
 
-func (p *pool) recordResponseTime(took time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.hedgeDelays.Observe(took)
-}
-
 // hedgeDelay returns the time after which a repeatable request is sent to a second target.
 func (p *pool) hedgeDelay() time.Duration {
 	p.mu.Lock()
--- a/pkg/booking/sharedbudget.go
+++ b/pkg/booking/sharedbudget.go
@@ -93,6 +93,21 @@
 	return sum
 }
 
+// TotalRate returns how many requests a second all instances get, and the number of other instances that have reported
+// since a time. Each instance's counts are averaged over the window.
+func (b *SharedRetryBudget) TotalRate(now, since time.Time) (perSecond float64, reporters int) {
+	perSecond = b.RequestRate(now)
+	for _, s := range b.remote {
+		if now.Sub(s.receivedAt) <= b.Window && b.Window > 0 {
+			perSecond += float64(s.Requests) / b.Window.Seconds()
+		}
+		if !s.receivedAt.Before(since) {
+			reporters++
+		}
+	}
+	return perSecond, reporters
+}
+
 // SetRemoteCounts stores the counts received from another instance.
 func (b *SharedRetryBudget) SetRemoteCounts(now time.Time, instance string, counts SendCounts) {
 	if b.remote == nil {
--- a/pkg/engine/share.go
+++ b/pkg/engine/share.go
@@ -58,3 +58,16 @@
 	}
 	return sum
 }
+
+// InProgress returns the sum of all instances' counts for some targets.
+func (p *Pool) InProgress(now time.Time, names []string) RequestCounts {
+	sum := RequestCounts{}
+	for _, name := range names {
+		there := p.remoteTotal(now, name)
+		if t := p.targets[name]; t != nil {
+			there.Running, there.Pending = there.Running+t.running, there.Pending+t.pending
+		}
+		sum.Running, sum.Pending = sum.Running+there.Running, sum.Pending+there.Pending
+	}
+	return sum
+}
