--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -312,6 +312,7 @@
 		st.req.pool.recordFirstOutput(now, current.target)
 		st.relay.recordStart(now, st.req)
 		current.observeFirstEvent(now)
+		current.recordReading(now)
 	}
 	if current.eventCount >= soundAnswerEvents && now.Sub(current.firstEventAt) >= suspectAnswerTime {
 		current.recordAnswer(now, current.firstEventAt)
