Lower numbers of targets between repeated losses of data centres

Cause: a data centre counted as failing for 2 s after the last report of a loss, reports are repeated for 1 s, and no number went down for 3 s more. With losses each 6.5 s that are noticed up to 1.5 s after their begin, no moment was left in which a number could go down.

Change: the 3 s run from the last loss that was noticed; a repeated report is not another loss. The time in which less was needed did not restart with a loss before and does not now.

Shorter reports were ruled out: other parts use them.

--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -26,6 +26,32 @@
 	spec *route.ScalingSpec
 	// readingTime estimates the readingQuantile of the times to the first event, or is 0.
 	readingTime time.Duration
+	// reported holds the targets that each other instance last reported as lost, and lostAt when one was reported that
+	// was not in the report before: a report is repeated for lossReportWindow.
+	reported map[string][]string
+	lostAt   map[string]time.Time
+}
+
+// recordReport records the targets that another instance reports as lost.
+func (d *demand) recordReport(now time.Time, instance string, ids []string) {
+	if d.spec == nil {
+		return
+	}
+	former := d.reported[instance]
+	if len(ids) == 0 {
+		delete(d.reported, instance)
+		return
+	}
+	if d.reported == nil {
+		d.reported, d.lostAt = map[string][]string{}, map[string]time.Time{}
+	}
+	d.reported[instance] = ids
+	for _, id := range ids {
+		if !slices.Contains(former, id) {
+			d.lostAt[id] = now
+		}
+	}
+	maps.DeleteFunc(d.lostAt, func(_ string, at time.Time) bool { return now.Sub(at) > lossWindow+lossReportWindow })
 }
 
 // observeReading updates the estimate with the time to the first event of one stream.
@@ -128,6 +154,7 @@
 func (p *pool) supply(now time.Time) scaling.Supply {
 	out := scaling.Supply{}
 	failing := p.losses.failingDataCentres(now, p.dataCentreOf)
+	lostAt := map[string]time.Time{}
 	for i := range p.listedTargets {
 		t := &p.listedTargets[i]
 		dc := out[t.DataCentre]
@@ -141,6 +168,17 @@
 			}
 		}
 		out[t.DataCentre] = dc
+		for _, at := range []time.Time{p.losses.local[t.ID], p.demand.lostAt[t.ID]} {
+			if at.After(lostAt[t.DataCentre]) {
+				lostAt[t.DataCentre] = at
+			}
+		}
+	}
+	for name, at := range lostAt {
+		if dc := out[name]; dc.Failing {
+			dc.SinceLoss = max(now.Sub(at), 0)
+			out[name] = dc
+		}
 	}
 	return out
 }
--- a/internal/relay/demand_test.go
+++ b/internal/relay/demand_test.go
@@ -67,7 +67,7 @@
 	p.losses.recordLocal(now, "a2", true)
 	r.SetSplit("p", version.Split{Change: 1, Version: "v2", Limited: true})
 	in = r.ScalingInputs(now.Add(time.Second))
-	require.Equal(t, scaling.DataCentre{Present: 3, Lost: 2, Failing: true}, in[0].Supply["a"])
+	require.Equal(t, scaling.DataCentre{Present: 3, Lost: 2, Failing: true, SinceLoss: time.Second}, in[0].Supply["a"])
 	require.True(t, in[0].View.Changing)
 	require.False(t, in[0].View.Stale)
 	in = r.ScalingInputs(now.Add(newsTTL + time.Millisecond))
--- a/internal/relay/target_progress.go
+++ b/internal/relay/target_progress.go
@@ -57,6 +57,7 @@
 		if p.sharesProgress() {
 			p.enginePool.SetRemoteCounts(now, instance, progress.InProgress)
 			p.losses.recordReport(now, instance, progress.SilentTargets)
+			p.demand.recordReport(now, instance, progress.SilentTargets)
 			for _, id := range progress.ReplacedTargets {
 				p.exclude(id)
 			}
--- a/pkg/scaling/input.go
+++ b/pkg/scaling/input.go
@@ -68,8 +68,9 @@
 	Present int
 	Leaving int
 	Lost    int
-	// Failing is set while the data centre is losing targets.
-	Failing bool
+	// Failing is set while the data centre is losing targets or has recently lost some, SinceLoss ago the last one.
+	Failing   bool
+	SinceLoss time.Duration
 }
 
 // Supply holds the targets of a pool by data centre.
--- a/pkg/scaling/plan.go
+++ b/pkg/scaling/plan.go
@@ -81,8 +81,11 @@
 	}
 	for name, s := range p.subjects {
 		dc := supply[name]
+		if at := now.Add(-dc.SinceLoss); dc.Failing && at.After(p.lostAt) {
+			p.lostAt = at
+		}
 		// More than a step down has gone at once.
-		if dc.Failing || s.present-dc.Present > max(s.present/lowerPart, 1) {
+		if s.present-dc.Present > max(s.present/lowerPart, 1) {
 			p.lostAt = now
 		}
 	}
