Lower no number before the cost is known, nor during a loss

Cause: without requests nothing seemed needed, so the numbers went down before the first requests came, and again while the window of the rate was not full; the start then looked like growth. An order for less that had not been accepted was also still made after a loss had begun.

Change: samples begin with the first known cost, for calls as for streams. An order for less waits while no number may go down.

Lowering an unused pool after a longer time was ruled out: the first requests would meet min targets.

--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -128,10 +128,14 @@
 	in.Demand.InProgress, in.Demand.Pending = counts.Running, counts.Pending
 	if p.model != nil {
 		in.Demand.ReadingTime = p.demand.readingTime
-		in.View.CostUnknown = p.demand.readingTime == 0 && rate > 0
-	} else if !p.sharesProgress() {
+		in.View.CostUnknown = p.demand.readingTime == 0
+		return in, true
+	}
+	took := p.enginePool.ServiceTime()
+	in.View.CostUnknown = took == 0
+	if !p.sharesProgress() {
 		// Others do not say what they have in progress: it is the rate multiplied by the time that a request takes.
-		in.Demand.InProgress = max(counts.Running, int(rate*p.enginePool.ServiceTime().Seconds()+0.5))
+		in.Demand.InProgress = max(counts.Running, int(rate*took.Seconds()+0.5))
 	}
 	return in, true
 }
--- a/pkg/scaling/input.go
+++ b/pkg/scaling/input.go
@@ -93,7 +93,7 @@
 	StoreAway bool
 	// Changing is set while the pool's version changes.
 	Changing bool
-	// CostUnknown is set if no prompt has been read since the start of the instance.
+	// CostUnknown is set if the instance has not seen since its start what a request costs.
 	CostUnknown bool
 }
 
--- a/pkg/scaling/plan.go
+++ b/pkg/scaling/plan.go
@@ -35,6 +35,8 @@
 	// unreliableAt is when the view was last unreliable.
 	unreliableAt time.Time
 	latest       need
+	// calm is set if a number may go down now.
+	calm bool
 }
 
 // Step records what is known now, and returns the orders that are due, by data centre.
@@ -46,17 +48,22 @@
 	if len(names) == 0 || p.Limits.Check() != nil {
 		return nil
 	}
+	if v.CostUnknown {
+		// What is needed is not known yet. The samples begin with the first known cost: holdTime is longer than the window
+		// of the rate, which is then full before a number goes down, and a start is not taken for growth.
+		p.history = history{}
+	}
 	p.recordDemand(now, d, disturbed, len(names))
 	if !p.settled {
 		return nil
 	}
-	calm := !disturbed && !v.Changing && !v.CostUnknown && p.reliableFor(now, holdTime)
+	p.calm = !disturbed && !v.Changing && !v.CostUnknown && p.reliableFor(now, holdTime)
 	// One standard deviation more: a number that fits the lowest rate of random arrivals would soon go up again.
 	most := roundUp(float64(p.history.mostNeeded(now)) * (1 + d.deviation()))
 	for i, name := range names {
 		s := p.subjects[name]
 		s.wanted = p.Limits.clamp(partOf(p.latest.total, len(names), i))
-		p.decide(now, s, p.Limits.clamp(partOf(most, len(names), i)), calm, disturbed)
+		p.decide(now, s, p.Limits.clamp(partOf(most, len(names), i)), disturbed)
 	}
 	return p.orders(names)
 }
@@ -128,17 +135,15 @@
 }
 
 // decide decides the number for one data centre. most is the largest number that was needed within holdTime.
-func (p *Plan) decide(now time.Time, s *subject, most int, calm, disturbed bool) {
+func (p *Plan) decide(now time.Time, s *subject, most int, disturbed bool) {
 	switch limited := p.Limits.clamp(s.decided); {
 	case s.wanted > s.decided && (!disturbed || float64(s.wanted) > (1+deadBand)*float64(s.decided)):
 		s.decide(s.wanted, p.latest.why)
-	case !calm || now.Sub(s.loweredAt) < lowerInterval:
+	case !p.calm || now.Sub(s.loweredAt) < lowerInterval:
 	case limited < s.decided:
-		s.loweredAt = now
-		s.decide(limited, WhyLimits)
+		s.lower(now, limited, WhyLimits)
 	case float64(most) <= (1-deadBand)*float64(s.decided):
-		s.loweredAt = now
-		s.decide(max(most, s.decided-max(s.decided/lowerPart, 1)), WhyLess)
+		s.lower(now, max(most, s.decided-max(s.decided/lowerPart, 1)), WhyLess)
 	}
 }
 
@@ -153,10 +158,11 @@
 	return list
 }
 
-// Due returns the order for a data centre if the platform has not accepted it.
+// Due returns the order for a data centre if the platform has not accepted it. One for less waits while no number may go
+// down.
 func (p *Plan) Due(dataCentre string) (Order, bool) {
 	s := p.subjects[dataCentre]
-	if s == nil || !s.pending() {
+	if s == nil || !s.pending() || s.lowered && !p.calm {
 		return Order{}, false
 	}
 	return Order{Pool: p.Pool, DataCentre: dataCentre, Desired: s.decided, Why: s.why, Above: s.above()}, true
--- a/pkg/scaling/subject.go
+++ b/pkg/scaling/subject.go
@@ -20,6 +20,8 @@
 	// presentAt is when targets were last present, and loweredAt when the number was last lowered.
 	presentAt time.Time
 	loweredAt time.Time
+	// lowered is set if the last decision was for less.
+	lowered bool
 }
 
 // uncertain is an order without an answer; its token is 0 if there is none.
@@ -29,7 +31,12 @@
 }
 
 func (s *subject) decide(n int, why string) {
-	s.decided, s.why, s.assumed = n, why, false
+	s.decided, s.why, s.assumed, s.lowered = n, why, false, false
+}
+
+func (s *subject) lower(now time.Time, n int, why string) {
+	s.decide(n, why)
+	s.loweredAt, s.lowered = now, true
 }
 
 // pending reports whether an order has to be made.
