Record each order's result, and forget the plans of a term lost while renumbering

Cause: a token that became known between two steps after a renumbering without an answer was not yet the scaler's, so the result of an order under it was dropped. A different order then had the same token, and the late one could win. A term that was lost during a renumbering left its plans to the next term if no step came between.

Change: a result is recorded in the plan that the order is from. A renumbering that reports the duty as not held resets the plans.

Result: TestUnansweredOrderUnderAdoptedToken and TestTermLostWhileRenumbering failed before and pass.

--- a/internal/scaling/scaler_test.go
+++ b/internal/scaling/scaler_test.go
@@ -58,6 +58,8 @@
 	token int64
 	until time.Time
 	fails bool
+	// err is the error of Renumber, if it is not nil.
+	err error
 }
 
 func (h *holderStub) Term(now time.Time) (duty.Term, bool) {
@@ -69,6 +71,9 @@
 }
 
 func (h *holderStub) Renumber(context.Context) (duty.Term, error) {
+	if h.err != nil {
+		return duty.Term{}, h.err
+	}
 	if h.fails {
 		return duty.Term{}, errors.New("store away")
 	}
@@ -200,6 +205,46 @@
 	require.Equal(t, "p/a=8@7", f.platform.calls[0])
 }
 
+// Guards against an order that is executed late and replaces a newer one, where its token became known between two steps
+// after a renumbering without an answer.
+func TestUnansweredOrderUnderAdoptedToken(t *testing.T) {
+	f := newFixture()
+	f.run(7 * time.Second)
+	f.in[0].Demand.PerSecond = 8
+	f.platform.answers = []error{errLate, errLate}
+	f.run(stepInterval)
+	f.in[0].Demand.PerSecond = 9
+	f.holder.fails = true
+	f.run(stepInterval)
+	f.Step(f.now, f.now)
+	f.holder.token = 8
+	f.SendNext(context.Background())
+	require.Equal(t, []string{"p/a=16@7", "p/a=18@8"}, f.platform.calls)
+	f.in[0].Demand.PerSecond = 10
+	f.holder.fails = false
+	f.run(stepInterval)
+	require.Equal(t, []string{"p/a=20@9"}, f.platform.calls[2:])
+	for _, execute := range f.platform.late {
+		execute()
+	}
+	require.Equal(t, int64(20), f.platform.desired["p/a"])
+}
+
+// Guards against a new term that acts on what was decided under one that was lost while its token was renumbered.
+func TestTermLostWhileRenumbering(t *testing.T) {
+	f := newFixture()
+	f.run(7 * time.Second)
+	f.in[0].Demand.PerSecond = 8
+	f.platform.answers = []error{errLate}
+	f.run(stepInterval)
+	f.in[0].Demand.PerSecond = 9
+	f.holder.err = &dutycalls.NotHeldError{}
+	f.run(stepInterval)
+	f.holder.token, f.holder.err = 20, nil
+	f.run(6 * time.Second)
+	require.Len(t, f.platform.calls, 1, "a new term needs a reliable view for 6 s")
+}
+
 // Guards against subjects that never get their turn because an earlier one changes with each step.
 func TestOrdersTakeTurns(t *testing.T) {
 	f := newFixture()
--- a/internal/scaling/send.go
+++ b/internal/scaling/send.go
@@ -28,7 +28,7 @@
 
 // SendNext makes the next order, and reports whether another one may be made at once. The Caller bounds the rate.
 func (s *Scaler) SendNext(ctx context.Context) bool {
-	o, term, ok := s.next()
+	o, p, term, ok := s.next()
 	if !ok || ctx.Err() != nil {
 		return false
 	}
@@ -39,16 +39,17 @@
 	}
 	began := s.now()
 	err := s.Caller.OrderTargets(ctx, term, o.Pool, o.DataCentre, o.Desired)
-	return s.record(time.Now(), o, term.Token, s.now().Sub(began), err)
+	return s.record(time.Now(), o, p, term.Token, s.now().Sub(began), err)
 }
 
-// next returns the order that follows the last one in the order of the subjects. Each due order is made once in a step.
-func (s *Scaler) next() (scaling.Order, duty.Term, bool) {
+// next returns the order that follows the last one in the order of the subjects, with its plan. Each due order is made once
+// in a step.
+func (s *Scaler) next() (scaling.Order, *scaling.Plan, duty.Term, bool) {
 	term, held := s.Holder.Term(s.now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !held || term.Token != s.token && !s.renumbering {
-		return scaling.Order{}, duty.Term{}, false
+		return scaling.Order{}, nil, duty.Term{}, false
 	}
 	for len(s.due) > 0 {
 		i := max(slices.IndexFunc(s.due, func(k subjectKey) bool { return compareKeys(k, s.last) > 0 }), 0)
@@ -58,11 +59,11 @@
 		// It may have been made since the step.
 		if p := s.plans[key.pool]; p != nil {
 			if o, ok := p.Due(key.dataCentre); ok {
-				return o, term, true
+				return o, p, term, true
 			}
 		}
 	}
-	return scaling.Order{}, duty.Term{}, false
+	return scaling.Order{}, nil, duty.Term{}, false
 }
 
 // renumber gets a token that is higher than that of a call which may still be executed.
@@ -74,6 +75,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
+		notHeld := (*dutycalls.NotHeldError)(nil)
+		if errors.As(err, &notHeld) {
+			// The term has ended: another instance may act before the next one.
+			s.reset(0)
+		}
 		s.logResult(time.Now(), "order_postponed", o, term.Token, 0, "renumber_failed")
 		return term, false
 	}
@@ -81,12 +87,11 @@
 	return term, term.Token > o.Above
 }
 
-// record records the result of an order, and reports whether another one may be made at once.
-func (s *Scaler) record(wall time.Time, o scaling.Order, token int64, took time.Duration, err error) bool {
+// record records the result of an order in the plan that it is from, and reports whether another one may be made at once.
+func (s *Scaler) record(wall time.Time, o scaling.Order, p *scaling.Plan, token int64, took time.Duration, err error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.plans[o.Pool]
-	if p == nil || s.token != token {
+	if s.plans[o.Pool] != p {
 		// The pool is no longer scaled, or the plans are those of a later term.
 		return true
 	}
