--- a/pkg/scaling/input.go
+++ b/pkg/scaling/input.go
@@ -68,8 +68,9 @@
 	Present int
 	Leaving int
 	Lost    int
-	// Failing is set while the data centre is losing targets.
-	Failing bool
+	// Failing is set while the data centre is losing targets or has recently lost some, SinceLoss ago the last one.
+	Failing   bool
+	SinceLoss time.Duration
 }
 
 // Supply holds the targets of a pool by data centre.
@@ -92,7 +93,7 @@
 	StoreAway bool
 	// Changing is set while the pool's version changes.
 	Changing bool
-	// CostUnknown is set if no prompt has been read since the start of the instance.
+	// CostUnknown is set if the instance has not seen since its start what a request costs.
 	CostUnknown bool
 }
 
