Keep sums of the other instances' counts by target

Cause: the number of requests that the other instances have at a target was summed over all instances for each candidate of each choice, which is 420 x 5,300 look-ups a choice at the design scale. Change: the sums are kept by target and change with each message and expiry. RequestCounts gets the optional fields read, write and memory, which are not set yet. Ruled out: sums in the targets' own entries, since counts may arrive before a target is known.

--- a/pkg/engine/pool.go
+++ b/pkg/engine/pool.go
@@ -25,6 +25,7 @@
 	prefillSeconds float64
 	serviceSeconds float64
 	remote         map[string]remoteCounts
+	remoteSums     remoteSums
 }
 
 // target holds what is known of one target.
--- a/pkg/engine/share.go
+++ b/pkg/engine/share.go
@@ -11,6 +11,11 @@
 	// Running is the number of requests, Pending the number of those without output.
 	Running int `json:"running"`
 	Pending int `json:"pending,omitempty"`
+	// Read and Write are the tokens that the requests are expected to have still to read and to write, Memory the tokens
+	// that they are expected to keep. They are stated only for pools that use expected work, and all of them are 0 otherwise.
+	Read   int64 `json:"read,omitempty"`
+	Write  int64 `json:"write,omitempty"`
+	Memory int64 `json:"memory,omitempty"`
 }
 
 // remoteCounts are the counts last received from another instance.
@@ -19,10 +24,37 @@
 	byTarget   map[string]RequestCounts
 }
 
-// SetRemoteCounts stores the counts received from another instance, by target.
+// remoteSums holds the sums of the other instances' counts by target, so that a choice among thousands of targets need
+// not visit every instance for each of them.
+type remoteSums struct {
+	byTarget map[string]RequestCounts
+	// oldest is not after the time of the oldest counts in the sums.
+	oldest time.Time
+}
+
+// add adds the counts of an instance n times; n is 1 or -1.
+func (s *remoteSums) add(counts map[string]RequestCounts, n int) {
+	for name, c := range counts {
+		sum := s.byTarget[name]
+		sum.Running += n * c.Running
+		sum.Pending += n * c.Pending
+		if sum == (RequestCounts{}) {
+			delete(s.byTarget, name)
+			continue
+		}
+		s.byTarget[name] = sum
+	}
+}
+
+// SetRemoteCounts stores the counts received from another instance, by target; the map must not be changed afterwards.
 func (p *Pool) SetRemoteCounts(now time.Time, instance string, counts map[string]RequestCounts) {
 	if p.remote == nil {
-		p.remote = map[string]remoteCounts{}
+		p.remote, p.remoteSums.byTarget = map[string]remoteCounts{}, map[string]RequestCounts{}
+	}
+	p.remoteSums.add(p.remote[instance].byTarget, -1)
+	p.remoteSums.add(counts, 1)
+	if len(p.remote) == 0 || now.Before(p.remoteSums.oldest) {
+		p.remoteSums.oldest = now
 	}
 	p.remote[instance] = remoteCounts{receivedAt: now, byTarget: counts}
 }
@@ -46,15 +78,24 @@
 
 // remoteTotal returns the sum of the other instances' counts for a target.
 func (p *Pool) remoteTotal(now time.Time, name string) RequestCounts {
-	sum := RequestCounts{}
+	if now.Sub(p.remoteSums.oldest) > remoteCountsTTL {
+		p.dropExpired(now)
+	}
+	return p.remoteSums.byTarget[name]
+}
+
+// dropExpired removes the counts of instances that have not renewed them.
+func (p *Pool) dropExpired(now time.Time) {
+	oldest := now
 	for instance, counts := range p.remote {
 		if now.Sub(counts.receivedAt) > remoteCountsTTL {
+			p.remoteSums.add(counts.byTarget, -1)
 			delete(p.remote, instance)
 			continue
 		}
-		there := counts.byTarget[name]
-		sum.Running += there.Running
-		sum.Pending += there.Pending
+		if counts.receivedAt.Before(oldest) {
+			oldest = counts.receivedAt
+		}
 	}
-	return sum
+	p.remoteSums.oldest = oldest
 }
