--- a/internal/gossip/progress.go
+++ b/internal/gossip/progress.go
@@ -42,6 +42,8 @@
 	Limits map[string]LimitStatement `json:"limits,omitempty"`
 	// RefusalLimits holds what this instance has recently learnt of targets that bear few refusals.
 	RefusalLimits map[string]RefusalLimitStatement `json:"brittle,omitempty"`
+	// Paces holds how slow targets have just stated their machines to be.
+	Paces map[string]PaceStatement `json:"paces,omitempty"`
 	// Links is what this instance knows about its own links to targets.
 	Links LinkStatement `json:"links,omitzero"`
 }
@@ -89,6 +91,13 @@
 	Lowered bool `json:"lowered,omitempty"`
 }
 
+// PaceStatement is what a target has stated about its machine.
+type PaceStatement struct {
+	// SlownessPercent is the time that work takes there, in percent of the usual time.
+	SlownessPercent int   `json:"slowness_percent"`
+	AgeMillis       int64 `json:"age_ms"`
+}
+
 type progressMessage struct {
 	Instance string `json:"instance"`
 	Progress
@@ -137,7 +146,7 @@
 	}
 }
 
-// broadcast sends a message; if it is too long, it first omits the backoffs, the silent and replaced targets
+// broadcast sends a message; if it is too long, it first omits the paces, then the backoffs, the silent and replaced targets
 // and the successors, then the rooms of brittle targets, and then the requests in progress: leaving and limited targets
 // must reach the others.
 func (x *ProgressExchange) broadcast(m *progressMessage) error {
@@ -149,6 +158,8 @@
 		switch {
 		case x.Socket.Broadcast(KindProgress, data):
 			return nil
+		case len(m.Paces) > 0:
+			m.Paces = nil
 		case len(m.SilentTargets)+len(m.ReplacedTargets)+len(m.Successors)+len(m.BackoffMillis) > 0:
 			m.SilentTargets, m.ReplacedTargets, m.Successors, m.BackoffMillis = nil, nil, nil, nil
 		case len(m.RefusalLimits) > 0:
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -65,6 +65,8 @@
 	firstEventAt time.Time
 	lastEventAt  time.Time
 	eventCount   int
+	// pace holds what the attempt shows of its target's pace.
+	pace attemptPace
 	// onTrial is set if the attempt replaces one at a target that is expected to go on.
 	onTrial bool
 	// finished is set when the attempt's result is recorded.
@@ -78,9 +80,9 @@
 	req.attemptCount++
 	r.Log.Write(now, timeline.Event{
 		Kind: timeline.AttemptBegun, Request: req.ID, Target: t.ID, Attempt: number, Why: reason, Entry: req.route.Name, Version: t.Version, Revision: req.table.Version,
-		Inputs: []timeline.Input{{Name: "load_percent", Value: int64(100 * load)}, {Name: "left_ms", Value: req.deadline.Sub(now).Milliseconds()}},
+		Inputs: append([]timeline.Input{{Name: "load_percent", Value: int64(100 * load)}, {Name: "left_ms", Value: req.deadline.Sub(now).Milliseconds()}}, req.work.inputs()...),
 	})
-	return &attempt{relay: r, req: req, target: t, number: number, startedAt: now, load: load}
+	return &attempt{relay: r, req: req, target: t, number: number, startedAt: now, load: load, pace: attemptPace{alone: req.work.alone}}
 }
 
 // sendRequest connects, sends the request and reads the response header.
@@ -122,7 +124,7 @@
 		if a.info.RequestID == "" || a.info.RequestID == a.req.ID {
 			a.res = res
 			a.req.pool.recordLoad(a.target, a.info.Load)
-			a.req.pool.recordSlowness(a.info.Slowness)
+			a.recordSlowness(time.Now())
 			a.recordStatements(time.Now())
 			return nil
 		}
@@ -220,6 +222,7 @@
 		a.wentSilent = false
 	}
 	a.req.pool.recordEnded(now, a.target, !a.hangs, result, a.wentSilent, took)
+	a.recordWorkEnd(now, complete && !a.info.NotRun && !result.Failed && !result.Unreachable)
 	a.observeResult(now, result)
 	// Only data after the target's own response proves that the target was alive: another target
 	// may be at its address by now, and a reused connection may have carried another target's
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -88,12 +88,12 @@
 // first, a retry.
 func (c *callHandler) startAttempt(ctx context.Context, reason string) bool {
 	now := time.Now()
-	t, load, ok := c.req.pool.chooseTarget(now, c.relay.DataCentre, targetCriteria{avoidTargets: c.triedTargets, firstAttempt: len(c.triedTargets) == 0})
+	t, load, ok := c.req.pool.chooseTarget(now, c.relay.DataCentre, targetCriteria{avoidTargets: c.triedTargets, firstAttempt: len(c.triedTargets) == 0, work: c.req.expectedWork(now, 0)})
 	if !ok {
 		return false
 	}
 	if len(c.triedTargets) > 0 && !c.req.pool.allowRetry(now) {
-		c.req.pool.releaseTarget(now, t)
+		c.req.releaseTarget(now, t)
 		return false
 	}
 	c.triedTargets = append(c.triedTargets, t.ID)
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -22,6 +22,8 @@
 	// PromptTokens and OutputTokens are the size of a generation, or 0.
 	PromptTokens int
 	OutputTokens int
+	// OutputHint is the caller's estimate of the output tokens, or 0.
+	OutputHint int
 	// PromptParts are the parts of the prompt, in order; prompts of different callers share parts.
 	PromptParts []PromptPart
 }
--- a/internal/relay/replacement.go
+++ b/internal/relay/replacement.go
@@ -81,7 +81,7 @@
 		}
 		return ""
 	}
-	st.req.pool.releaseTarget(now, chosen.target)
+	st.req.releaseTarget(now, chosen.target)
 	return denial
 }
 
@@ -125,7 +125,7 @@
 // releaseReservation releases the reserved target if no attempt was started there.
 func (st *streamHandler) releaseReservation(now time.Time) {
 	if reserved := st.takeReservation(); reserved != nil {
-		st.req.pool.releaseTarget(now, reserved.target)
+		st.req.releaseTarget(now, reserved.target)
 		if reserved.onTrial {
 			st.req.pool.endTrial(now, false)
 		}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -51,6 +51,8 @@
 	needsNewConn atomic.Bool
 	// sent is set when an attempt of the request has been sent.
 	sent atomic.Bool
+	// work is the work that the request is expected to be.
+	work expectedWork
 	// disableInterrupt lets the request go on after the time at which a stop interrupts requests.
 	disableInterrupt func() bool
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -307,9 +307,11 @@
 	current.lastEventAt, current.silenceLogged = now, false
 	st.awaitsReplacement, st.postponeLogged = false, false
 	current.eventCount++
+	current.recordEvent(now)
 	if current.firstEventAt.IsZero() {
 		current.firstEventAt = now
 		st.req.pool.recordFirstOutput(now, current.target)
+		current.recordFirstEvent(now)
 		current.observeFirstEvent(now)
 	}
 	if current.eventCount >= soundAnswerEvents && now.Sub(current.firstEventAt) >= suspectAnswerTime {
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -29,7 +29,7 @@
 			return
 		}
 		if action.Attempt > 1 && !st.req.pool.allowRetry(now) {
-			st.req.pool.releaseTarget(now, chosen.target)
+			st.req.releaseTarget(now, chosen.target)
 			st.waitForRetryBudget(now, action)
 			return
 		}
@@ -74,6 +74,7 @@
 			criteria.preferredTarget = t.ID
 		}
 	}
+	criteria.work = st.req.expectedWork(now, st.gen.Position)
 	t, load, ok := st.req.pool.chooseTarget(now, st.relay.DataCentre, criteria)
 	if !ok {
 		return nil
@@ -87,7 +88,7 @@
 	if !st.req.pool.copiesKVCache() || !st.req.route.AllowsRerun() {
 		return route.Target{}, false
 	}
-	b, _, ok := st.req.pool.chooseTarget(now, t.DataCentre, targetCriteria{avoidTargets: []string{t.ID}, avoidDataCentre: t.DataCentre, sendsNothing: true})
+	b, _, ok := st.req.pool.chooseTarget(now, t.DataCentre, targetCriteria{avoidTargets: []string{t.ID}, avoidDataCentre: t.DataCentre, sendsNothing: true, work: st.req.placedWork()})
 	return b, ok && b.ID != t.ID
 }
 
--- a/internal/relay/target_progress.go
+++ b/internal/relay/target_progress.go
@@ -18,6 +18,7 @@
 	successors := map[string]string{}
 	leaving, backoffs := map[string]int64{}, map[string]int64{}
 	limits, refusalLimits := map[string]gossip.LimitStatement{}, map[string]gossip.RefusalLimitStatement{}
+	paces := map[string]gossip.PaceStatement{}
 	links := gossip.LinkStatement{}
 	if r.Links != nil {
 		links = r.Links.statement(now)
@@ -31,7 +32,7 @@
 		}
 		p.addRefusalLimits(now, refusalLimits)
 		if p.sharesProgress() {
-			maps.Copy(inProgress, p.enginePool.LocalCounts())
+			maps.Copy(inProgress, p.localCounts(now))
 			contactAt := now
 			if r.Links != nil {
 				contactAt = r.Links.contactAt(name)
@@ -40,9 +41,10 @@
 			replaced = slices.AppendSeq(replaced, maps.Keys(p.replaced))
 		}
 		maps.Copy(successors, p.successors.ProvenLocally())
+		p.addPaces(now, paces)
 		p.mu.Unlock()
 	}
-	return gossip.Progress{InProgress: inProgress, AttemptCounts: attemptCounts, SilentTargets: silent, ReplacedTargets: replaced, Successors: successors, LeavingTargets: leaving, BackoffMillis: backoffs, Limits: limits, RefusalLimits: refusalLimits, Links: links}
+	return gossip.Progress{InProgress: inProgress, AttemptCounts: attemptCounts, SilentTargets: silent, ReplacedTargets: replaced, Successors: successors, LeavingTargets: leaving, BackoffMillis: backoffs, Limits: limits, RefusalLimits: refusalLimits, Links: links, Paces: paces}
 }
 
 // ApplyRemoteProgress applies what another instance reports about its targets.
@@ -56,6 +58,7 @@
 		p.applyRefusalLimits(now, progress.RefusalLimits)
 		if p.sharesProgress() {
 			p.enginePool.SetRemoteCounts(now, instance, progress.InProgress)
+			p.applyRemoteWork(now, instance, progress.InProgress)
 			p.losses.recordReport(now, instance, progress.SilentTargets)
 			for _, id := range progress.ReplacedTargets {
 				p.exclude(id)
@@ -67,6 +70,7 @@
 			}
 		}
 		p.applyStatements(now, progress)
+		p.applyPaces(now, progress.Paces)
 		p.applyLimits(now, progress.Limits)
 		p.mu.Unlock()
 	}
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -10,6 +10,7 @@
 	"bambooferry.example/bambooferry/pkg/engine"
 	"bambooferry.example/bambooferry/pkg/engine/policy"
 	"bambooferry.example/bambooferry/pkg/engine/policy/spread"
+	"bambooferry.example/bambooferry/pkg/engine/policy/work"
 	"bambooferry.example/bambooferry/pkg/generation"
 	"bambooferry.example/bambooferry/pkg/route"
 	"bambooferry.example/bambooferry/pkg/version"
@@ -97,14 +98,11 @@
 	isUser   func(target string, users int) bool
 	rank     func(key string) int
 	// turn is the last turn for which rank was called, and turnRank its result.
-	turn      int64
-	turnRank  int
-	split     version.Split
-	allowance *version.Allowance
-	// contended is set if the pool's streams have different priorities, statesSlowness once a target has stated how slow its
-	// machine is. Either calls for placement by expected work.
-	contended       bool
-	statesSlowness  bool
+	turn            int64
+	turnRank        int
+	split           version.Split
+	allowance       *version.Allowance
+	placement       placement
 	progressChanged chan struct{}
 	// removedAt is when the table no longer had the pool, or zero; the registry's lock guards it.
 	removedAt time.Time
@@ -164,15 +162,21 @@
 }
 
 func (r *TargetRegistry) newPool() *pool {
-	selectionPolicy, err := policy.New(spread.Name, r.Seed)
-	if err != nil {
-		panic(err) // the policy is linked in by this file
-	}
-	return &pool{
-		progressChanged: r.progressChanged, enginePool: engine.Pool{Policy: selectionPolicy}, losses: newLossTracker(), replaced: map[string]route.Target{},
+	p := &pool{
+		progressChanged: r.progressChanged, enginePool: engine.Pool{Policy: newPolicy(spread.Name, r.Seed), PredictionPolicy: newPolicy(work.Name, r.Seed)}, losses: newLossTracker(), replaced: map[string]route.Target{},
 		successors: route.Successors{AddressReuse: r.AddressReuse}, searchingSuccessor: map[string]bool{},
 		retryBudget: booking.SharedRetryBudget{Ratio: r.RetryRatio, Slack: r.RetrySlack, Window: r.RetryWindow}, instanceCount: r.Instances, isUser: r.IsUser, rank: r.Rank,
 	}
+	p.placement.init()
+	return p
+}
+
+func newPolicy(name string, seed uint64) policy.Policy {
+	selected, err := policy.New(name, seed)
+	if err != nil {
+		panic(err) // the policies are linked in by this file
+	}
+	return selected
 }
 
 func (r *TargetRegistry) pool(name string) *pool {
@@ -192,6 +196,7 @@
 	}
 	p.enginePool.RetainTargets(names)
 	p.reachability.Retain(names)
+	p.placement.update(p.model, p.targets, names)
 	p.availability.Retain(now, p.targets)
 	p.limits.Retain(now, p.targets)
 	p.refusalLimits.Retain(now, p.targets)
@@ -232,6 +237,8 @@
 	avoidDataCentre string
 	// sendsNothing is set if the target will get no request, so that none counts there or against its limit.
 	sendsNothing bool
+	// work is the work that the request is expected to be, or nil if it is not known.
+	work *expectedWork
 	// firstAttempt is set for the first attempt of a request, which the new version may get while a pool's version changes.
 	firstAttempt bool
 }
@@ -258,7 +265,7 @@
 		func(t *route.Target) bool { return !slices.Contains(criteria.avoidTargets, t.ID) },
 		func(*route.Target) bool { return len(criteria.avoidTargets) > 0 },
 	} {
-		if c, ok := p.enginePool.ChooseCandidate(now, p.openTargets(now, dataCentre, p.withVersion(now, criteria, p.replacing(now, criteria, passes))), nil, nil); ok {
+		if c, ok := p.chooseCandidate(now, p.openTargets(now, dataCentre, p.withVersion(now, criteria, p.replacing(now, criteria, passes))), criteria); ok {
 			t := p.findTarget(c.Name)
 			load := c.Load
 			if p.refusalLimits.Brittle(t) {
@@ -268,6 +275,7 @@
 				p.limits.Take(now, t, p.instanceCount())
 				p.refusalLimits.Take(now, t, load)
 				p.enginePool.RecordSent(now, t.ID, nil)
+				p.beginWork(now, t, criteria)
 				p.recordVersionChoice(now, criteria, t)
 				p.notifyProgressChanged()
 			}
--- a/pkg/engine/pool.go
+++ b/pkg/engine/pool.go
@@ -20,6 +20,8 @@
 // them; set Policy before the first call.
 type Pool struct {
 	Policy policy.Policy
+	// PredictionPolicy is used by ChoosePredicted; set it before the first call of that.
+	PredictionPolicy policy.Policy
 
 	targets        map[string]*target
 	prefillSeconds float64
@@ -57,16 +59,38 @@
 // ChooseCandidate chooses like Choose and returns the chosen candidate with the data that the
 // choice was based on.
 func (p *Pool) ChooseCandidate(now time.Time, available []AvailableTarget, blocks []uint64, avoid []string) (policy.Candidate, bool) {
+	list := p.preferred(now, available, blocks, avoid)
+	if len(list) == 0 {
+		return policy.Candidate{}, false
+	}
+	return list[p.Policy.Pick(now, list)], true
+}
+
+// ChoosePredicted chooses like ChooseCandidate, by PredictionPolicy and what is predicted for the request.
+func (p *Pool) ChoosePredicted(now time.Time, available []AvailableTarget, avoid []string, predict func(c *policy.Candidate) policy.Prediction) (policy.Candidate, bool) {
+	list := p.preferred(now, available, nil, avoid)
+	if len(list) == 0 {
+		return policy.Candidate{}, false
+	}
+	for i := range list {
+		list[i].Predict = predict
+	}
+	return list[p.PredictionPolicy.Pick(now, list)], true
+}
+
+// preferred returns the candidates that are neither avoided nor unreachable, or if there are none, those that are not
+// avoided, or else all.
+func (p *Pool) preferred(now time.Time, available []AvailableTarget, blocks []uint64, avoid []string) []policy.Candidate {
 	for _, filter := range []func(a AvailableTarget) bool{
 		func(a AvailableTarget) bool { return !slices.Contains(avoid, a.Name) && !p.isDown(now, a.Name) },
 		func(a AvailableTarget) bool { return !slices.Contains(avoid, a.Name) },
 		func(AvailableTarget) bool { return true },
 	} {
 		if list := p.candidates(now, available, blocks, filter); len(list) > 0 {
-			return list[p.Policy.Pick(now, list)], true
+			return list
 		}
 	}
-	return policy.Candidate{}, false
+	return nil
 }
 
 func (p *Pool) isDown(now time.Time, name string) bool {
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -92,6 +92,8 @@
 	MemoryTokens int `json:"memory_tokens"`
 	// Backups is set when an engine copies a run's memory to another engine while it grows.
 	Backups bool `json:"backups,omitempty"`
+	// EventTokens is the number of tokens that an event of a stream holds, or 0 if it is not known.
+	EventTokens int `json:"event_tokens,omitempty"`
 }
 
 // Workspace is a customer account, identified by its keys.
