--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -18,6 +18,9 @@
 	paceReportWindow = 200 * time.Millisecond
 	// maxPaceAge bounds the age of a statement that another instance passes on.
 	maxPaceAge = 5 * time.Second
+	// copyMemoryShare is the share of an engine's memory that is left for copies of other engines' requests and for prompts
+	// that it keeps: instances do not tell each other of copies.
+	copyMemoryShare = 0.4
 	// minRemainingShare bounds from below the output that is expected of a stream that has written more than was expected.
 	minRemainingShare = 0.15
 )
@@ -33,7 +36,7 @@
 	paces     workload.Paces
 	backlog   workload.Backlog
 	predictor workload.Predictor
-	// memoryTokens is the number of tokens that an engine keeps, or 0.
+	// memoryTokens is the number of tokens that an engine keeps for requests, or 0.
 	memoryTokens float64
 }
 
@@ -46,7 +49,7 @@
 func (pl *placement) update(model *route.EngineSpec, targets []route.Target, names []string) {
 	pl.memoryTokens = 0
 	if model != nil {
-		pl.memoryTokens = float64(model.MemoryTokens)
+		pl.memoryTokens = (1 - copyMemoryShare) * float64(model.MemoryTokens)
 	}
 	pl.addresses = make(map[string]netip.AddrPort, len(targets))
 	for i := range targets {
@@ -139,14 +142,6 @@
 	return w
 }
 
-// placedWork returns the work by which the request's target was chosen, or nil.
-func (req *callerRequest) placedWork() *expectedWork {
-	if !req.work.predicted {
-		return nil
-	}
-	return &req.work
-}
-
 // eventTokens returns the number of tokens in an event of the pool's streams; the caller holds mu.
 func (p *pool) eventTokens() float64 {
 	if p.model != nil && p.model.EventTokens > 0 {
@@ -158,15 +153,13 @@
 // chooseCandidate chooses one of the targets, by expected work if that is known; the caller holds mu.
 func (p *pool) chooseCandidate(now time.Time, targets []engine.AvailableTarget, criteria targetCriteria) (policy.Candidate, bool) {
 	w := criteria.work
-	if w == nil || p.model == nil {
+	if w == nil || p.model == nil || criteria.sendsNothing {
+		// A copy takes memory only, of which slow engines, which have fewer requests, have as much as others.
 		return p.enginePool.ChooseCandidate(now, targets, nil, nil)
 	}
 	predict := p.placement.predictor.For(now, w.Work, w.objective)
-	if criteria.sendsNothing {
-		predict = p.placement.predictor.ForCopy(now, w.Work)
-	}
 	c, ok := p.enginePool.ChoosePredicted(now, targets, nil, predict)
-	if ok && !criteria.sendsNothing {
+	if ok {
 		w.predicted, w.prediction, w.slowness = true, predict(&c), poolPace{&p.placement}.Slowness(now, c.Name)
 	}
 	return c, ok
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -88,7 +88,7 @@
 	if !st.req.pool.copiesKVCache() || !st.req.route.AllowsRerun() {
 		return route.Target{}, false
 	}
-	b, _, ok := st.req.pool.chooseTarget(now, t.DataCentre, targetCriteria{avoidTargets: []string{t.ID}, avoidDataCentre: t.DataCentre, sendsNothing: true, work: st.req.placedWork()})
+	b, _, ok := st.req.pool.chooseTarget(now, t.DataCentre, targetCriteria{avoidTargets: []string{t.ID}, avoidDataCentre: t.DataCentre, sendsNothing: true})
 	return b, ok && b.ID != t.ID
 }
 
