--- a/internal/relay/attempt_pace.go
+++ b/internal/relay/attempt_pace.go
@@ -32,10 +32,12 @@
 		return
 	}
 	p := a.req.pool
-	withLock(&p.mu, func() {
-		// The codec has checked the figure.
-		_ = p.placement.paces.RecordStated(now, a.target.Address, workload.Statement{Slowness: a.pace.slowness, At: now}, true)
-	})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pl := &p.placement
+	tell := pl.isNews(now, a.target.Address, a.pace.slowness)
+	// The codec has checked the figure.
+	_ = pl.paces.RecordStated(now, a.target.Address, workload.Statement{Slowness: a.pace.slowness, At: now}, tell)
 }
 
 // recordFirstEvent records that the target has read the prompt.
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -16,6 +17,10 @@
 	// paceReportWindow is how long a slowness that a target has stated is told to other instances: one or two messages.
 	// Longer repeats would cost more bytes than a lost statement does harm.
 	paceReportWindow = 200 * time.Millisecond
+	// expectedTolerance is the relative difference up to which a statement is what was expected, so that others are not told
+	// of it within repeatPace of the last one.
+	expectedTolerance = 0.1
+	repeatPace        = 5 * time.Second
 	// maxPaceAge bounds the age of a statement that another instance passes on.
 	maxPaceAge = 5 * time.Second
 	// copyMemoryShare is the share of an engine's memory that is left for copies of other engines' requests and for prompts
@@ -36,6 +41,8 @@
 	paces     workload.Paces
 	backlog   workload.Backlog
 	predictor workload.Predictor
+	// toldAt holds when other instances were last told a statement of a target.
+	toldAt map[netip.AddrPort]time.Time
 	// memoryTokens is the number of tokens that an engine keeps for requests, or 0.
 	memoryTokens float64
 }
@@ -58,6 +65,19 @@
 	pl.backlog.Retain(names)
 }
 
+// isNews reports whether other instances are to be told what a target has stated.
+func (pl *placement) isNews(now time.Time, address netip.AddrPort, slowness float64) bool {
+	expected := pl.paces.Slowness(now, address)
+	if math.Abs(slowness-expected) <= expectedTolerance*expected && now.Sub(pl.toldAt[address]) < repeatPace {
+		return false
+	}
+	if pl.toldAt == nil || len(pl.toldAt) > 2*len(pl.addresses) {
+		pl.toldAt = map[netip.AddrPort]time.Time{}
+	}
+	pl.toldAt[address] = now
+	return true
+}
+
 // enabled reports whether requests are placed by the work that they are expected to be.
 func (pl *placement) enabled() bool { return pl.contended || pl.paces.Stated() }
 
