Fix expected work and paces for odd times and numbers

Cause: after the clock stepped back, statements and measurements of a target were ignored, and the latest statement was believed entirely, until the clock had caught up; ages of statements became negative; a quiet history no longer aged. A quantile of NaN gave an expected output of NaN. A declared maximum near the largest integer overflowed to a bound of 0 tokens per event. An ignored statement without a time added a target to Paces, and a repeated one made its target the last to be dropped.

Change: figures more than a second ahead are dropped when a target is next recorded, while its samples are kept, and readers take times in the future as being of unknown age. NaN is taken as the median, the bound is limited before it is converted, and only statements that are used add or move a target.

--- a/pkg/workload/estimator.go
+++ b/pkg/workload/estimator.go
@@ -38,8 +38,11 @@
 func (e *Estimator) Estimate(now time.Time, r Request) Work { return e.Quantile(now, r, 0.5) }
 
 // Quantile returns the work that a share q of requests such as r does not exceed. A request that looks like a call gets an
-// output too if streams have ended at its route, since headers may lack the numbers of tokens.
+// output too if streams have ended at its route, since headers may lack the numbers of tokens. NaN is taken as 0.5.
 func (e *Estimator) Quantile(_ time.Time, r Request, q float64) Work {
+	if math.IsNaN(q) {
+		q = 0.5
+	}
 	q = min(max(q, 0), 1)
 	if !isCall(r) {
 		return Work{Read: float64(max(r.PromptTokens, 0)), Write: e.output(r, q)}
--- a/pkg/workload/eventsize.go
+++ b/pkg/workload/eventsize.go
@@ -19,7 +19,8 @@
 	if declaredTokens <= 0 || events <= 0 {
 		return
 	}
-	s.bounds.record(now, int64(float64(declaredTokens)/float64(events)*eventSizeUnit), eventSizeGeneration)
+	bound := min(float64(declaredTokens)/float64(events)*eventSizeUnit, maxValue)
+	s.bounds.record(now, int64(bound), eventSizeGeneration)
 }
 
 // TokensPerEvent returns the tokens of an event, or 1 if too few streams have ended.
--- a/pkg/workload/histogram.go
+++ b/pkg/workload/histogram.go
@@ -58,7 +58,8 @@
 	if full || old {
 		d.previous, d.current = d.current, histogram{}
 	}
-	if d.current.total == 0 {
+	// A start in the future is from before the clock stepped back.
+	if d.current.total == 0 || d.began.After(now) {
 		d.began = now
 	}
 	d.current.record(v)
--- a/pkg/workload/pace.go
+++ b/pkg/workload/pace.go
@@ -21,6 +21,10 @@
 	driftAfter = 10 * time.Second
 	driftOver  = 10 * time.Second
 
+	// clockStep is how far a recorded time may be ahead. Callers may pass times slightly out of order; what is further
+	// ahead was recorded before the clock stepped back.
+	clockStep = time.Second
+
 	// runSpacing is the distance of statements that count as independent, in times the persistence of interference.
 	runSpacing = 3
 )
@@ -116,6 +120,19 @@
 	t.latest, t.anchor = Statement{}, Statement{}
 }
 
+// forgetFuture drops times that are ahead because the clock has stepped back, and reports whether it did. Without that,
+// new figures would be ignored until the clock has caught up. The samples are kept.
+func (t *pace) forgetFuture(now time.Time) bool {
+	// No other recorded time is later than confirmedAt.
+	if t.confirmedAt.Sub(now) <= clockStep {
+		return false
+	}
+	t.confirmedAt = now
+	t.sampledAt, t.restartedAt = time.Time{}, time.Time{}
+	t.latest, t.anchor, t.runCount = Statement{}, Statement{}, 0
+	return true
+}
+
 // recordRun follows how long the target has stated the same figure, and takes it as base if that is too long for
 // interference: the target was restarted, or its machine has changed.
 func (t *pace) recordRun(s Statement, p *persistence, poolMedian float64) {
@@ -138,7 +155,8 @@
 	if t.n == 0 {
 		return poolMedian
 	}
-	silent := now.Sub(t.confirmedAt)
+	// The age of a time in the future is not known; see forgetFuture.
+	silent := now.Sub(t.confirmedAt).Abs()
 	if silent <= driftAfter {
 		return t.base
 	}
--- a/pkg/workload/paces.go
+++ b/pkg/workload/paces.go
@@ -54,15 +54,19 @@
 	if s.At.After(now) {
 		s.At = now
 	}
-	t := p.getOrAdd(address)
-	if !s.At.After(t.restartedAt) {
+	t := p.get(now, address)
+	if s.At.IsZero() || (t != nil && !s.At.After(t.restartedAt)) {
 		return nil
 	}
+	// Messages of other instances repeat a statement and arrive in any order.
+	newer := t == nil || s.At.After(t.latest.At)
+	if newer {
+		t = p.getOrAdd(address)
+	}
 	if local && s.At.After(p.local[address].At) {
 		p.local[address] = s
 	}
-	// Messages of other instances repeat a statement and arrive in any order.
-	if !s.At.After(t.latest.At) {
+	if !newer {
 		return nil
 	}
 	p.learnPersistence(t, s, local)
@@ -154,10 +158,11 @@
 	if !engine.ValidSlowness(x) {
 		return
 	}
-	t := p.getOrAdd(address)
-	if !t.latest.At.IsZero() && now.Sub(t.latest.At) < statedAge {
+	t := p.get(now, address)
+	if t != nil && !t.latest.At.IsZero() && now.Sub(t.latest.At) < statedAge {
 		return
 	}
+	t = p.getOrAdd(address)
 	t.record(now, x, p.median())
 	p.updateMedian(now)
 }
@@ -174,7 +179,8 @@
 	if t.latest.At.IsZero() {
 		return base
 	}
-	age := max(now.Sub(t.latest.At), 0)
+	// A statement in the future is of unknown age, since the clock has stepped back.
+	age := now.Sub(t.latest.At).Abs()
 	return base + (t.latest.Slowness-base)*math.Exp(-float64(age)/float64(p.persistence.time()))
 }
 
@@ -188,7 +194,7 @@
 
 // LocalStatements returns the latest statement of each target to this instance that is at most 1.5 s old.
 func (p *Paces) LocalStatements(now time.Time) map[netip.AddrPort]Statement {
-	maps.DeleteFunc(p.local, func(_ netip.AddrPort, s Statement) bool { return now.Sub(s.At) > localAge })
+	maps.DeleteFunc(p.local, func(_ netip.AddrPort, s Statement) bool { return now.Sub(s.At).Abs() > localAge })
 	return maps.Clone(p.local)
 }
 
@@ -229,6 +235,19 @@
 	}
 }
 
+// get returns the pace of a target, or nil if it is unknown.
+func (p *Paces) get(now time.Time, address netip.AddrPort) *pace {
+	el := p.elements[address]
+	if el == nil {
+		return nil
+	}
+	t := el.Value.(*pace)
+	if t.forgetFuture(now) {
+		delete(p.local, address)
+	}
+	return t
+}
+
 // getOrAdd returns the pace of a target. It drops the one with the oldest figure if there are too many.
 func (p *Paces) getOrAdd(address netip.AddrPort) *pace {
 	if el := p.elements[address]; el != nil {
