--- a/pkg/engine/policy/policy.go
+++ b/pkg/engine/policy/policy.go
@@ -26,6 +26,21 @@
 	RoundTrip time.Duration
 	// Weight is 1 for a healthy target and lower for one that fails or is slow.
 	Weight float64
+	// Predict, if set, predicts what the request would meet at a candidate. It is the same function for all candidates of a
+	// list; a policy calls it only for those that it compares.
+	Predict func(c *Candidate) Prediction
+}
+
+// Prediction is what a request is expected to meet at a target.
+type Prediction struct {
+	// FirstOutput and Finish are the times until the request's first output and until its end.
+	FirstOutput, Finish time.Duration
+	// DelayToOthers is the sum of the delays that the request causes to those that are already there.
+	DelayToOthers time.Duration
+	// Fits is set unless the request would exceed the target's memory.
+	Fits bool
+	// Late is set if the first output is expected after the request's objective.
+	Late bool
 }
 
 // Policy picks one of a non-empty list of candidates and returns its index.
--- a/pkg/engine/share.go
+++ b/pkg/engine/share.go
@@ -13,9 +13,9 @@
 	Pending int `json:"pending,omitempty"`
 	// Read and Write are the tokens that the requests are expected to have still to read and to write, Memory the tokens
 	// that they are expected to keep. They are stated only for pools that use expected work, and all of them are 0 otherwise.
-	Read   int64 `json:"read,omitempty"`
-	Write  int64 `json:"write,omitempty"`
-	Memory int64 `json:"memory,omitempty"`
+	Read   float64 `json:"read,omitempty"`
+	Write  float64 `json:"write,omitempty"`
+	Memory float64 `json:"memory,omitempty"`
 }
 
 // remoteCounts are the counts last received from another instance.
