Choose by predictions, and list candidates with less work

Cause: a choice among 5,300 targets took 2 ms, for three look-ups a candidate, a sort of all weights and new lists. Change: Pool.ChoosePredicted chooses by PredictionPolicy and a function that predicts for a candidate. Lists are reused, weights are sorted only if one is low, and each candidate is looked up once. Ruled out: weights for the sampled candidates only, since they depend on the medians of all.

--- a/pkg/engine/health.go
+++ b/pkg/engine/health.go
@@ -99,6 +99,9 @@
 // When most of a pool looks bad the cause is common to all, and sending all traffic to the few
 // others would overload them.
 func capLowWeights(weights []float64) {
+	if !slices.ContainsFunc(weights, func(w float64) bool { return w < healthyWeight }) {
+		return
+	}
 	order := make([]int, len(weights))
 	for i := range order {
 		order[i] = i
--- a/pkg/engine/pool.go
+++ b/pkg/engine/pool.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -20,12 +21,17 @@
 // them; set Policy before the first call.
 type Pool struct {
 	Policy policy.Policy
+	// PredictionPolicy is used by ChoosePredicted; set it before the first call of that.
+	PredictionPolicy policy.Policy
 
 	targets        map[string]*target
 	prefillSeconds float64
 	serviceSeconds float64
 	remote         map[string]remoteCounts
 	remoteSums     remoteSums
+	// list and known are reused by candidates.
+	list  []policy.Candidate
+	known []*health
 }
 
 // target holds what is known of one target.
@@ -57,54 +63,76 @@
 // ChooseCandidate chooses like Choose and returns the chosen candidate with the data that the
 // choice was based on.
 func (p *Pool) ChooseCandidate(now time.Time, available []AvailableTarget, blocks []uint64, avoid []string) (policy.Candidate, bool) {
-	for _, filter := range []func(a AvailableTarget) bool{
-		func(a AvailableTarget) bool { return !slices.Contains(avoid, a.Name) && !p.isDown(now, a.Name) },
-		func(a AvailableTarget) bool { return !slices.Contains(avoid, a.Name) },
-		func(AvailableTarget) bool { return true },
-	} {
-		if list := p.candidates(now, available, blocks, filter); len(list) > 0 {
-			return list[p.Policy.Pick(now, list)], true
-		}
+	list := p.preferred(now, available, blocks, avoid)
+	if len(list) == 0 {
+		return policy.Candidate{}, false
+	}
+	return list[p.Policy.Pick(now, list)], true
+}
+
+// ChoosePredicted chooses like ChooseCandidate, by PredictionPolicy and what is predicted for the request.
+func (p *Pool) ChoosePredicted(now time.Time, available []AvailableTarget, avoid []string, predict func(c *policy.Candidate) policy.Prediction) (policy.Candidate, bool) {
+	list := p.preferred(now, available, nil, avoid)
+	if len(list) == 0 {
+		return policy.Candidate{}, false
+	}
+	for i := range list {
+		list[i].Predict = predict
 	}
-	return policy.Candidate{}, false
+	return list[p.PredictionPolicy.Pick(now, list)], true
 }
 
-func (p *Pool) isDown(now time.Time, name string) bool {
-	return now.Before(p.target(name).health.downUntil)
+// preferred returns the candidates that are neither avoided nor unreachable, or if there are none, those that are not
+// avoided, or else all.
+func (p *Pool) preferred(now time.Time, available []AvailableTarget, blocks []uint64, avoid []string) []policy.Candidate {
+	for _, allowed := range []struct {
+		avoid []string
+		down  bool
+	}{{avoid, false}, {avoid, true}, {nil, true}} {
+		if list := p.candidates(now, available, blocks, allowed.avoid, allowed.down); len(list) > 0 {
+			return list
+		}
+	}
+	return nil
 }
 
-// candidates returns the available targets that pass a filter, with what is known of them.
-func (p *Pool) candidates(now time.Time, available []AvailableTarget, blocks []uint64, filter func(AvailableTarget) bool) []policy.Candidate {
-	list := make([]policy.Candidate, 0, len(available))
+// candidates returns the available targets that are not avoided, and not unreachable unless down is set, with what is
+// known of them. The list is valid until the next call.
+func (p *Pool) candidates(now time.Time, available []AvailableTarget, blocks []uint64, avoid []string, down bool) []policy.Candidate {
+	list, known := p.list[:0], p.known[:0]
 	for _, a := range available {
-		if !filter(a) {
+		if slices.Contains(avoid, a.Name) {
 			continue
 		}
 		t := p.target(a.Name)
+		if !down && now.Before(t.health.downUntil) {
+			continue
+		}
 		remote := p.remoteTotal(now, a.Name)
 		load := max(t.estimatedLoad(now), float64(t.running+remote.Running))
+		known = append(known, &t.health)
 		list = append(list, policy.Candidate{
 			Name: a.Name, Load: load, Pending: t.pending + remote.Pending, Slots: a.Slots, RoundTrip: a.RoundTrip,
 			QueueWait: p.queueWait(load, a.Slots), PrefillTime: time.Duration(p.prefillSeconds * float64(time.Second)),
 			CachedShare: t.prefixes.cachedShare(now, blocks),
 		})
 	}
-	for i, w := range p.weights(now, list) {
+	p.list, p.known = list, known
+	for i, w := range weights(now, known) {
 		list[i].Weight = w
 	}
 	return list
 }
 
-func (p *Pool) weights(now time.Time, list []policy.Candidate) []float64 {
-	first, gap := make([]float64, 0, len(list)), make([]float64, 0, len(list))
-	for _, c := range list {
-		h := &p.target(c.Name).health
+func weights(now time.Time, known []*health) []float64 {
+	first, gap := make([]float64, 0, len(known)), make([]float64, 0, len(known))
+	for _, h := range known {
 		first, gap = append(first, h.firstTokenRatio), append(gap, h.tokenGapSeconds)
 	}
 	medianFirst, medianGap := median(first), median(gap)
-	weights := make([]float64, len(list))
-	for i, c := range list {
-		weights[i] = p.target(c.Name).health.weight(now, medianFirst, medianGap)
+	weights := make([]float64, len(known))
+	for i, h := range known {
+		weights[i] = h.weight(now, medianFirst, medianGap)
 	}
 	capLowWeights(weights)
 	return weights
@@ -235,21 +263,16 @@
 
 // Weights returns the weights of all known targets for display; an unreachable target has weight 0.
 func (p *Pool) Weights(now time.Time) map[string]float64 {
-	var list []policy.Candidate
-	for name := range p.targets {
-		list = append(list, policy.Candidate{Name: name})
+	names := slices.Sorted(maps.Keys(p.targets))
+	known := make([]*health, len(names))
+	for i, name := range names {
+		known[i] = &p.target(name).health
 	}
-	slices.SortFunc(list, func(a, b policy.Candidate) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
 	out := map[string]float64{}
-	for i, w := range p.weights(now, list) {
-		out[list[i].Name] = w
-		if p.isDown(now, list[i].Name) {
-			out[list[i].Name] = 0
+	for i, w := range weights(now, known) {
+		out[names[i]] = w
+		if now.Before(known[i].downUntil) {
+			out[names[i]] = 0
 		}
 	}
 	return out
--- a/pkg/engine/pool_test.go
+++ b/pkg/engine/pool_test.go
@@ -169,3 +169,32 @@
 		})
 	}
 }
+
+// Guards against a predicted choice that ignores the predictions, or uses a target that is avoided or unreachable.
+func TestChoosePredicted(t *testing.T) {
+	p := newTestPool(t)
+	p.PredictionPolicy = policy.Func(func(_ time.Time, list []policy.Candidate) int {
+		best := 0
+		for i := range list {
+			if list[i].Predict(&list[i]).Finish < list[best].Predict(&list[best]).Finish {
+				best = i
+			}
+		}
+		return best
+	})
+	predict := func(c *policy.Candidate) policy.Prediction {
+		return policy.Prediction{Finish: time.Duration(c.Name[len(c.Name)-1])}
+	}
+	chosen := func(avoid ...string) string {
+		c, ok := p.ChoosePredicted(t0, availableTargets(3), avoid, predict)
+		require.True(t, ok)
+		return c.Name
+	}
+	require.Equal(t, "engine-0", chosen())
+	p.RecordEnd(t0, "engine-0", RequestResult{Unreachable: true}, 0)
+	require.Equal(t, "engine-1", chosen())
+	require.Equal(t, "engine-2", chosen("engine-1"))
+	require.Equal(t, "engine-0", chosen("engine-1", "engine-2"))
+	_, ok := p.ChoosePredicted(t0, nil, nil, predict)
+	require.False(t, ok)
+}
