--- a/pkg/engine/policy/policy_test.go
+++ b/pkg/engine/policy/policy_test.go
@@ -11,11 +11,12 @@
 	_ "bambooferry.example/bambooferry/pkg/engine/policy/least"
 	_ "bambooferry.example/bambooferry/pkg/engine/policy/roundrobin"
 	_ "bambooferry.example/bambooferry/pkg/engine/policy/twochoices"
+	_ "bambooferry.example/bambooferry/pkg/engine/policy/work"
 )
 
 // Guards against a policy that picks an index outside the list, or never picks some target.
 func TestEveryPolicyReachesEveryTarget(t *testing.T) {
-	require.Equal(t, []string{"expected_time", "least_requests", "round_robin", "two_choices"}, policy.Names())
+	require.Equal(t, []string{"expected_time", "expected_work", "least_requests", "round_robin", "two_choices"}, policy.Names())
 	for _, name := range policy.Names() {
 		p, err := policy.New(name, 1)
 		require.NoError(t, err)
--- a/pkg/engine/policy/spread/spread.go
+++ b/pkg/engine/policy/spread/spread.go
@@ -38,8 +38,7 @@
 
 func (p *picker) pick(_ time.Time, list []policy.Candidate) int {
 	best, bestScore := -1, 0.0
-	first := p.rng.IntN(len(list))
-	step := p.coprimeStep(len(list))
+	first, step := policy.RandomOrder(p.rng, len(list))
 	for n := range min(sampleSize, len(list)) {
 		i := (first + n*step) % len(list)
 		score := p.score(list[i])
@@ -50,24 +49,6 @@
 	return best
 }
 
-// coprimeStep returns a random step that is coprime to n, so that its multiples visit different
-// candidates of a list of n.
-func (p *picker) coprimeStep(n int) int {
-	for {
-		step := 1 + p.rng.IntN(n)
-		if gcd(step, n) == 1 {
-			return step
-		}
-	}
-}
-
-func gcd(a, b int) int {
-	for b != 0 {
-		a, b = b, a%b
-	}
-	return a
-}
-
 // score returns the load that a new request would find at a candidate, in requests of a healthy
 // target.
 func (p *picker) score(c policy.Candidate) float64 {
