--- a/pkg/engine/policy/work/work.go
+++ b/pkg/engine/policy/work/work.go
@@ -85,12 +85,10 @@
 // rank rates a candidate: its score is the time in seconds that a request takes there and costs others. Without a
 // prediction it is the number of requests there.
 func (p *picker) rank(c *policy.Candidate) rank {
-	unhealthy := 1/max(c.Weight, minWeight) - 1
-	r := rank{group: inTime, score: (c.Load + 1) * (1 + unhealthy)}
+	r := rank{group: inTime, score: c.Load + 1}
 	if c.Predict != nil {
 		e := c.Predict(c)
-		// A request that fails there has to wait for its first output once more, while its end is as far away as before.
-		r.score = (e.Finish + e.DelayToOthers + c.RoundTrip).Seconds() + unhealthy*e.FirstOutput.Seconds()
+		r.score = (e.Finish + e.DelayToOthers + c.RoundTrip).Seconds()
 		switch {
 		case !e.Fits:
 			r.group = full
@@ -98,6 +96,6 @@
 			r.group = late
 		}
 	}
-	r.score *= 1 + tieShare*p.rng.Float64()
+	r.score *= (1 + tieShare*p.rng.Float64()) / max(c.Weight, minWeight)
 	return r
 }
