Place streams by expected work where targets state how slow they are

Cause: engines of one pool differ in speed by 2.7 to 1, and a request counted as one whatever its prompt and output. Calls and backups are placed as before.

--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -21,9 +21,6 @@
 	// of it within repeatPace of the last one.
 	expectedTolerance = 0.1
 	repeatPace        = 5 * time.Second
-	// measuredTolerance is the logarithm of the slowness up to which one that was only measured is taken for chance: an
-	// instance sees few streams of a target.
-	measuredTolerance = 0.25
 	// maxPaceAge bounds the age of a statement that another instance passes on.
 	maxPaceAge = 5 * time.Second
 	// copyMemoryShare is the share of an engine's memory that is left for copies of other engines' requests and for prompts
@@ -35,8 +32,6 @@
 
 // placement is what the instance knows of the work at a pool's targets. The pool's lock guards it.
 type placement struct {
-	// contended is set if the pool's streams have different priorities.
-	contended bool
 	// addresses holds the targets' addresses.
 	addresses map[string]netip.AddrPort
 	estimator workload.Estimator
@@ -81,19 +76,16 @@
 	return true
 }
 
-// enabled reports whether requests are placed by the work that they are expected to be.
-func (pl *placement) enabled() bool { return pl.contended || pl.paces.Stated() }
+// enabled reports whether requests are placed by the work that they are expected to be: once a target has stated how slow its
+// machine is. Targets that are alike are chosen as well by counts, which need less bytes.
+func (pl *placement) enabled() bool { return pl.paces.Stated() }
 
 // poolPace gives the pace of targets by name.
 type poolPace struct{ *placement }
 
 // Slowness returns how many times as long as usual a target takes now.
 func (p poolPace) Slowness(now time.Time, target string) float64 {
-	s := p.paces.Slowness(now, p.addresses[target])
-	if !p.paces.Stated() && math.Abs(math.Log(s)) < measuredTolerance {
-		return 1
-	}
-	return s
+	return p.paces.Slowness(now, p.addresses[target])
 }
 
 // ReadTime returns the usual time to read a token.
@@ -102,13 +94,6 @@
 // StepTime returns the usual time to write a token.
 func (p poolPace) StepTime() time.Duration { return p.paces.StepTime() }
 
-// setContended records whether the pool's streams have different priorities.
-func (p *pool) setContended(contended bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.placement.contended = contended
-}
-
 // expectedWork is the work that a request is expected to be, and what it would meet at the target that was last chosen.
 type expectedWork struct {
 	workload.Work
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -124,7 +124,6 @@
 		}
 		conf, _ := table.Pool(name)
 		p.update(now, conf, targets[name])
-		p.setContended(table.PrioritiesDiffer(name))
 		p.removedAt = time.Time{}
 		r.pools[name] = p
 	}
--- a/pkg/workload/paces.go
+++ b/pkg/workload/paces.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	defaultReadTime = 250 * time.Microsecond
+	defaultReadTime = 200 * time.Microsecond
 	defaultStepTime = 6 * time.Millisecond
 
 	maxAddresses = 8192
--- a/pkg/workload/usual.go
+++ b/pkg/workload/usual.go
@@ -8,7 +8,7 @@
 
 const (
 	usualSamples = 64
-	usualEnough  = 2 // samples, until which a default is used
+	usualEnough  = 8 // samples, until which a default is used
 	loadClasses  = 8 // powers of two of the streams at a target
 )
 
