--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -53,6 +53,8 @@
 	sent atomic.Bool
 	// started is set when the request has begun to run.
 	started atomic.Bool
+	// work is the work that the request is expected to be.
+	work expectedWork
 	// disableInterrupt lets the request go on after the time at which a stop interrupts requests.
 	disableInterrupt func() bool
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -307,10 +307,12 @@
 	current.lastEventAt, current.silenceLogged = now, false
 	st.awaitsReplacement, st.postponeLogged = false, false
 	current.eventCount++
+	current.recordEvent(now)
 	if current.firstEventAt.IsZero() {
 		current.firstEventAt = now
 		st.req.pool.recordFirstOutput(now, current.target)
 		st.relay.recordStart(now, st.req)
+		current.recordFirstEvent(now)
 		current.observeFirstEvent(now)
 		current.recordReading(now)
 	}
