Order enough engines that streams take at most a third longer than alone

Change: the reading share is a field of the plan; the daemon uses 0.3, and 0.45 while a data centre is lost.

--- a/internal/scaling/scaler.go
+++ b/internal/scaling/scaler.go
@@ -35,10 +35,16 @@
 	OrderTargets(ctx context.Context, t duty.Term, pool, dataCentre string, n int) error
 }
 
+// SmoothReadingShare is a reading share at which streams take at most a third longer than alone: they write at a fifth of their
+// speed while their engine reads.
+const SmoothReadingShare = 0.3
+
 // Scaler orders the number of targets of each pool; set its exported fields before the first call.
 type Scaler struct {
-	Holder Holder
-	Caller Caller
+	// ReadingShare bounds the share of time in which an engine reads prompts, as scaling.Plan describes.
+	ReadingShare float64
+	Holder       Holder
+	Caller       Caller
 	// Inputs returns what is known of the pools that are scaled, at a time of the wall clock.
 	Inputs func(now time.Time) []scaling.Input
 	// ThawSlack is how long before its end at the store a lease ends for this instance.
@@ -161,7 +167,7 @@
 	}
 	p := s.plans[in.Pool]
 	if p == nil {
-		p = &scaling.Plan{Pool: in.Pool}
+		p = &scaling.Plan{Pool: in.Pool, ReadingShare: s.ReadingShare}
 		s.plans[in.Pool] = p
 	}
 	p.Limits = in.Limits
--- a/pkg/scaling/input.go
+++ b/pkg/scaling/input.go
@@ -51,6 +51,8 @@
 	Pending    int
 	// Slots is the number of requests that a target can run at once.
 	Slots int
+
+	readingShare float64
 }
 
 // deviation returns the relative standard deviation of the rate for random arrivals, or 0 if the window is not known.
--- a/pkg/scaling/plan.go
+++ b/pkg/scaling/plan.go
@@ -25,6 +25,8 @@
 type Plan struct {
 	Pool   string
 	Limits Limits
+	// ReadingShare bounds the share of time in which a target reads prompts, while no data centre is lost; 0 stands for 0.5.
+	ReadingShare float64
 
 	history  history
 	subjects map[string]*subject
@@ -71,7 +73,7 @@
 // recordDemand adds a sample, with what it needs.
 func (p *Plan) recordDemand(now time.Time, d Demand, disturbed bool, dataCentres int) {
 	p.history.add(sample{at: now, perSecond: d.PerSecond, streams: d.InProgress, reading: d.ReadingTime, disturbed: disturbed})
-	d.ReadingTime = p.history.readingTime(now)
+	d.ReadingTime, d.readingShare = p.history.readingTime(now), p.ReadingShare
 	p.latest = sizeFor(d, p.history.streams(now), growthAhead(&p.history, now, d, p.Limits.BootTime), dataCentres)
 	p.history.samples[len(p.history.samples)-1].need = p.latest
 }
--- a/pkg/scaling/size.go
+++ b/pkg/scaling/size.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// maxReadingShare bounds the share of time in which a target reads prompts, since reading delays its other streams;
-	// maxReadingShareLost is the bound while the largest data centre is lost.
+	// maxReadingShare bounds the share of time in which a target reads prompts, since reading delays its other streams, if
+	// Plan.ReadingShare is not set; maxReadingShareLost is the bound while the largest data centre is lost.
 	maxReadingShare     = 0.5
 	maxReadingShareLost = 0.75
 	// maxSlotShare is the share of a target's slots that is used: streams slow each other long before the slots are full.
@@ -40,18 +40,22 @@
 // sizeFor returns the least number of targets in n data centres for which all rules hold. streams is the number of
 // requests in progress to be provided for.
 func sizeFor(d Demand, streams int, growth float64, n int) need {
+	share, shareLost := maxReadingShare, maxReadingShareLost
+	if d.readingShare > 0 {
+		share, shareLost = d.readingShare, d.readingShare*maxReadingShareLost/maxReadingShare
+	}
 	reading := d.PerSecond * growth * d.ReadingTime.Seconds()
 	slots := maxSlotShare * float64(max(d.Slots, 1))
-	w := need{total: roundUp(reading / maxReadingShare), why: WhyReading, growth: growth}
+	w := need{total: roundUp(reading / share), why: WhyReading, growth: growth}
 	if byStreams := roundUp(float64(streams) * growth / slots); byStreams > w.total {
 		w.total, w.why = byStreams, WhyStreams
 	}
 	if n > 1 {
 		// If the only data centre is lost, no number is enough.
-		if byLoss := int(reading / maxReadingShareLost * float64(n) / float64(n-1)); byLoss > w.total {
+		if byLoss := int(reading / shareLost * float64(n) / float64(n-1)); byLoss > w.total {
 			w.total, w.why = byLoss, WhyReadingLost
 		}
-		for float64(w.total-partOf(w.total, n, 0)) < reading/maxReadingShareLost-roundingSlack {
+		for float64(w.total-partOf(w.total, n, 0)) < reading/shareLost-roundingSlack {
 			w.total, w.why = w.total+1, WhyReadingLost
 		}
 	}
