Test the caller of duties, its client, and the settings of duties

Cause: these parts had no tests, and three of the mechanisms of the election could be switched off unnoticed by a weak property test. Change: tests and fuzz tests; the property test chooses the holder for half of the faults and runs for longer.

--- a/internal/duty/property_test.go
+++ b/internal/duty/property_test.go
@@ -15,9 +15,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		c := newCluster(t, rapid.IntRange(1, 4).Draw(t, "instances"))
 		highest := map[*node]int64{}
-		for range rapid.IntRange(10, 60).Draw(t, "steps") {
+		for range rapid.IntRange(20, 80).Draw(t, "steps") {
 			c.randomFault(t)
-			for range rapid.IntRange(1, 12).Draw(t, "ticks") {
+			for range rapid.IntRange(1, 20).Draw(t, "ticks") {
 				c.tick()
 				for _, n := range c.nodes {
 					if term, ok := n.Term(c.now); ok && !n.frozen && !n.stopped {
@@ -35,6 +35,10 @@
 
 func (c *cluster) randomFault(t *rapid.T) {
 	i := rapid.IntRange(0, len(c.nodes)-1).Draw(t, "instance")
+	// A fault of the holder is more likely to matter.
+	if h := c.holder(); h >= 0 && rapid.Bool().Draw(t, "holder") {
+		i = h
+	}
 	n := c.nodes[i]
 	switch rapid.SampledFrom([]string{"cut", "freeze", "kill", "stop", "lose", "late", "restore", "renumber", "platform", "delay", "none"}).Draw(t, "fault") {
 	case "cut":
--- a/pkg/duty/elector_test.go
+++ b/pkg/duty/elector_test.go
@@ -150,6 +150,12 @@
 	require.Equal(t, Acquire, next.Kind)
 	require.EqualValues(t, 9, next.Expected, "a late key of this instance is replaced by one with its own lease")
 
+	e, _ = lost()
+	e.ReadBackDone(at(3510), otherKey(0, 7))
+	_, ok = e.Term(at(3510))
+	require.False(t, ok, "another instance has won")
+	require.Equal(t, Action{Kind: Wait}, e.Next(at(3510), 0, "n3"))
+
 	e, a = lost()
 	e.ReadBackDone(at(3510), KeyState{Exists: true, Era: 1, Revision: 7, Record: a.Record})
 	_, ok = e.Term(at(3510))
