--- a/internal/duty/holder_test.go
+++ b/internal/duty/holder_test.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
 
 	"bambooferry.example/bambooferry/internal/feed"
+	"bambooferry.example/bambooferry/internal/steady"
 	"bambooferry.example/bambooferry/pkg/duty"
 )
 
@@ -239,6 +241,29 @@
 	require.ErrorAs(t, err, &held)
 }
 
+// Guards against a duty that is not acquired or kept by the real clock and timers, and against goroutines that are left.
+func TestRunHoldsTheDuty(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c := newCluster(t, 1)
+	n := c.nodes[0]
+	n.Now, n.Separation = nil, 10*time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- n.Run(ctx) }()
+	n.Apply(time.Now(), feed.Update{Full: true, Revision: 5})
+	held := func() bool {
+		_, ok := n.Term(steady.Now())
+		return ok
+	}
+	require.Eventually(t, held, 10*time.Second, 10*time.Millisecond)
+	time.Sleep(duty.LeaseTTL)
+	require.True(t, held(), "renewed")
+	cancel()
+	require.ErrorIs(t, <-done, context.Canceled)
+	require.False(t, held())
+	require.Equal(t, 1, n.client.calls["revoke"])
+}
+
 // Guards against a holder that is replaced at a graceful stop only after its lease.
 func TestRunStopsGracefully(t *testing.T) {
 	c := newRunningCluster(t, 2)
--- a/pkg/duty/elector.go
+++ b/pkg/duty/elector.go
@@ -237,7 +237,7 @@
 		e.held, e.endedAt = true, now
 		return
 	}
-	e.otherSeenAt, e.other = now, k.Record.Instance
+	e.otherSeenAt, e.other, e.failures = now, k.Record.Instance, 0
 	// A new process does not remember a term of the former one, but the next holder does.
 	if k.Record.Former == e.Instance && now.Sub(e.startedAt) < 2*e.Separation {
 		e.held = true
@@ -245,7 +245,11 @@
 	e.otherSince = e.otherSince || e.held
 }
 
-func (e *Elector) isOwn(k *KeyState) bool { return slices.Contains(e.nonces, k.Record.Nonce) }
+// isOwn reports whether this process has written the key: for its latest term, or in one of its latest tries.
+func (e *Elector) isOwn(k *KeyState) bool {
+	nonce := k.Record.Nonce
+	return nonce != "" && (nonce == e.record.Nonce || slices.Contains(e.nonces, nonce))
+}
 
 // end ends the term. The lease is revoked if the key may still be there and is not needed.
 func (e *Elector) end(now time.Time, why string) {
--- a/pkg/duty/elector_test.go
+++ b/pkg/duty/elector_test.go
@@ -1,6 +1,7 @@
 package duty
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -202,6 +203,19 @@
 	require.Equal(t, Action{Kind: Wait, Until: at(10800)}, e.Next(at(5800), 0, "n4"))
 }
 
+// Guards against a long outage of the store after which a holder does not recognise its key.
+func TestOwnKeyAfterManyFailedTries(t *testing.T) {
+	e := newHolder(t)
+	now := at(4800)
+	for i := range 2 * maxNonces {
+		if a := e.Next(now, 0, fmt.Sprint("again", i)); a.Kind == Acquire {
+			e.Failed(now)
+		}
+		now = now.Add(maxBackoff)
+	}
+	require.EqualValues(t, 10, e.Next(now, 0, "last").Expected)
+}
+
 // Guards against a holder in a new era while one of the former era still acts, and against a holder that loses its duty
 // by a restore that keeps its key.
 func TestRestore(t *testing.T) {
