Read the time after the era in the usage reports

Cause: the time was read before the era and the term. A process that was suspended between the readings dated the era before its suspension, and could create a report of a window that a holder of the former era had sent. Change: the era, the term and then the time are read, before the lock is taken. Ruled out: a second reading of the time in the planner, which has no clock.

--- a/internal/usage/exchange.go
+++ b/internal/usage/exchange.go
@@ -139,13 +139,13 @@
 		return
 	}
 	r.init()
-	now := r.Now()
+	p := r.readNow()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.clock.Adopt(now, m) {
-		r.updateEstimate(now)
+	if r.clock.Adopt(p.now, m) {
+		r.updateEstimate(p.now)
 	}
-	status := r.status(now)
+	status := r.status(p)
 	r.planner.ObserveRecorded(&status, m.Recorded, m.RecordedHash)
 	if from, err := netip.ParseAddrPort(m.Instance); err == nil && m.Resend {
 		delete(r.told, from)
--- a/internal/usage/planning.go
+++ b/internal/usage/planning.go
@@ -23,15 +23,31 @@
 	sendTimeout  = 5 * time.Second
 )
 
+// reading is the era and the term as they were known at now.
+type reading struct {
+	now  time.Time
+	era  int64
+	term Term
+	held bool
+}
+
+// readNow reads the era, the term and the time. A process that is suspended between the readings must not date the era
+// before it was known: a report may be created only if the era was known before the end of its window.
+func (r *Reporter) readNow() reading {
+	p := reading{era: r.Era()}
+	p.term, p.held = r.Tenure.Term(r.Now())
+	p.now = r.Now()
+	return p
+}
+
 // status returns what the planner's decisions are based on; the caller holds mu.
-func (r *Reporter) status(now time.Time) usage.Status {
-	term, held := r.Tenure.Term(now)
+func (r *Reporter) status(p reading) usage.Status {
 	s := usage.Status{
-		Now: now, True: r.estimate.At(now), Bound: r.estimate.Bound, Era: r.Era(),
-		Held: held, Token: term.Token, TermEra: term.Era, CollectingSince: r.collectingSince,
+		Now: p.now, True: r.estimate.At(p.now), Bound: r.estimate.Bound, Era: p.era,
+		Held: p.held, Token: p.term.Token, TermEra: p.term.Era, CollectingSince: r.collectingSince,
 	}
-	if held {
-		s.Instances, s.Heard = r.Instances(), r.collector.Heard(now)
+	if p.held {
+		s.Instances, s.Heard = r.Instances(), r.collector.Heard(p.now)
 	}
 	return s
 }
@@ -45,16 +61,16 @@
 
 // planOne makes one step and reports whether another one may be due.
 func (r *Reporter) planOne(ctx context.Context) bool {
-	now := r.Now()
-	term, held := r.Tenure.Term(now)
+	p := r.readNow()
+	term := p.term
 	r.mu.Lock()
-	if r.stopSending != nil && (!held || term.Token != r.sendToken) {
+	if r.stopSending != nil && (!p.held || term.Token != r.sendToken) {
 		r.stopSending()
 	}
-	if held {
-		r.addOwn(now)
+	if p.held {
+		r.addOwn(p.now)
 	}
-	s := r.status(now)
+	s := r.status(p)
 	action := r.planner.Next(&s, r.collector.Sum)
 	r.logSkips(r.planner.TakeSkips())
 	r.mu.Unlock()
@@ -105,10 +121,10 @@
 			}
 		}
 	}
-	now := r.Now()
+	p := r.readNow()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.status(now)
+	s := r.status(p)
 	r.planner.HandleRead(&s, term.Token, era, records)
 	r.logSkips(r.planner.TakeSkips())
 }
@@ -139,11 +155,11 @@
 		r.recordFailure()
 		return
 	}
-	now := r.Now()
+	p := r.readNow()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	former, _ := r.planner.Recorded()
-	s := r.status(now)
+	s := r.status(p)
 	r.planner.HandleWritten(&s, term.Token, version.Era, version.Revision)
 	recorded, _ := r.planner.Recorded()
 	for _, report := range action.Record.Unsent {
@@ -162,17 +178,17 @@
 	r.sending.Go(func() {
 		defer cancel()
 		err := r.Platform.ReportUsage(ctx, term, report.Window, report.Counts)
-		now := r.Now()
 		if refused := (*duty.RefusedError)(nil); errors.As(err, &refused) {
-			r.Tenure.RecordRefused(now, refused.Token)
+			r.Tenure.RecordRefused(r.Now(), refused.Token)
 		}
+		p := r.readNow()
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.stopSending = nil
-		r.planner.HandleSent(now, report.Window, err == nil)
+		r.planner.HandleSent(p.now, report.Window, err == nil)
 		if err == nil {
 			r.reported = max(r.reported, report.Window)
-			s := r.status(now)
+			s := r.status(p)
 			r.logReport("usage_reported", &s, &report)
 		}
 	})
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"maps"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 
 	"bambooferry.example/bambooferry/internal/feed"
+	"bambooferry.example/bambooferry/pkg/timeline"
 	"bambooferry.example/bambooferry/pkg/usage"
 )
 
@@ -181,3 +184,34 @@
 		require.Zero(t, testing.AllocsPerRun(100, func() { r.Observe(r.Now(), "w") }))
 	})
 }
+
+// Guards against a report of a window that a holder of the store's former era may have reported: a process that was
+// suspended while it read the era must not take the era as known since before the suspension.
+func TestEraIsNotDatedBeforeASuspension(t *testing.T) {
+	f := &fleet{items: map[string]feed.Item{}, nodes: map[netip.AddrPort]*node{}, accepted: map[int64][]map[string]int64{}, late: map[int64]time.Duration{}, revision: 10}
+	n := &node{fleet: f, address: addressOf(0)}
+	end := usage.EndOf(1000, testWindow)
+	now, suspend := end.Add(-6*time.Second), false
+	clock := func() time.Time { return now }
+	r := &Reporter{
+		Address: n.address, Incarnation: 1, Window: testWindow, KeyPrefix: prefix, Store: n, Tenure: n, Platform: n, Messenger: n,
+		Destinations: func() []netip.AddrPort { return nil }, Instances: func() int { return 1 }, Now: clock, WallClock: clock,
+		Log: &timeline.Writer{Out: &f.log, Clock: &timeline.Clock{}}, Metrics: metrics.NewSet(),
+		Era: func() int64 {
+			if suspend {
+				suspend, now = false, end.Add(2*time.Second)
+				f.restore(map[string]feed.Item{})
+			}
+			return f.era
+		},
+	}
+	r.init()
+	r.plan(t.Context())
+	suspend = true
+	r.plan(t.Context())
+	require.EqualValues(t, 1, f.era)
+	f.elect(0)
+	r.plan(t.Context())
+	r.sending.Wait()
+	require.Empty(t, f.accepted, "the window ended before the era was known")
+}
