Do not continue a duty's term over an unknown restore

Cause: a holder that was suspended past its lease took the restored key for the one it had left, if its copy did not show the restore yet, or if the time was read before the era. It acted at once, 1.85 to 1.9 s after its last call, though another instance had acted between. Change: a term continues only if the known state of the key is of the known era; the write is not made if the lease was granted in another era than the one of the decision; the holder reads the time after the era. Result: TestSuspensionBeforeARestoreIsRead and TestSuspensionOverAnUnknownRestore each failed before and pass; go test -race of internal/duty and pkg/duty passes. Ruled out: waiting after every grant, which would delay each takeover.

--- a/internal/duty/execute.go
+++ b/internal/duty/execute.go
@@ -35,6 +35,10 @@
 	h.count("grant", err)
 	lease := duty.Lease(granted)
 	var at feed.Version
+	if err == nil && lease.Era != action.Era {
+		// The store was restored since the decision, and the condition may hold again. The lease expires.
+		err = &feed.LeaseEndedError{Lease: lease.ID}
+	}
 	if err == nil {
 		at, err = h.commit(ctx, action.Expected, action.Record, lease)
 	}
--- a/internal/duty/holder.go
+++ b/internal/duty/holder.go
@@ -122,9 +122,16 @@
 	h.calls.Lock()
 	defer h.calls.Unlock()
 	for range maxActions {
+		era := int64(0)
+		if h.Era != nil {
+			era = h.Era()
+		}
+		// The time is read after the era: if the process is suspended between, a restore of the store after the end of
+		// the lease would seem to come before it, and the term to have gone on without another holder.
+		now = maxTime(now, h.now())
 		e := h.lock()
 		if h.Era != nil {
-			e.ObserveEra(now, h.Era())
+			e.ObserveEra(now, era)
 		}
 		action := e.Next(now, h.Rank(), rand.Text())
 		_, holds := e.Term(now)
@@ -139,7 +146,6 @@
 		if ctx.Err() != nil {
 			break
 		}
-		now = maxTime(now, h.now())
 	}
 	return now
 }
--- a/internal/duty/holder_test.go
+++ b/internal/duty/holder_test.go
@@ -277,3 +277,53 @@
 	_, ok = n.Term(c.now)
 	require.False(t, ok)
 }
+
+// suspendOverRestore suspends the holder until another instance has held the duty, and then restores the store to the
+// state in which the suspended one held the key.
+func (c *cluster) suspendOverRestore(t *testing.T) {
+	held := c.now
+	c.nodes[0].frozen = true
+	for end, ok := c.now.Add(takeover), false; !ok && c.now.Before(end); {
+		c.tick()
+		_, ok = c.nodes[1].Term(c.now)
+	}
+	require.True(t, c.store.restore(held))
+	c.nodes[0].frozen = false
+}
+
+// Guards against a holder that acts before and after another one, because it was suspended between the readings of the
+// clock and the era: a restore after the end of its lease must not count as one within it.
+func TestSuspensionBeforeARestoreIsRead(t *testing.T) {
+	c := newRunningCluster(t, 2)
+	n, suspended := c.nodes[0], false
+	era := n.Era
+	n.Era = func() int64 {
+		if !suspended {
+			suspended = true
+			c.suspendOverRestore(t)
+			n.client.era = c.store.era
+		}
+		return era()
+	}
+	// The cluster fails if an instance acts again after another one.
+	n.Step(context.Background(), c.now)
+	c.run(2 * separation)
+	require.True(t, suspended)
+}
+
+// Guards against a holder that acts before and after another one, because the key is as it left it again after a restore
+// that its copy of the store does not show yet.
+func TestSuspensionOverAnUnknownRestore(t *testing.T) {
+	for _, eraKnown := range []bool{false, true} {
+		c := newRunningCluster(t, 2)
+		c.suspendOverRestore(t)
+		if eraKnown {
+			c.nodes[0].client.era = c.store.era
+		}
+		c.nodes[0].Step(context.Background(), c.now)
+		if term, ok := c.nodes[0].Term(c.now); ok {
+			c.send(0, term.Token)
+		}
+		c.run(2 * separation)
+	}
+}
--- a/pkg/duty/action.go
+++ b/pkg/duty/action.go
@@ -32,8 +32,10 @@
 	Until time.Time
 	// Expected is the revision of the key on which the write depends; 0 means that it must not exist.
 	Expected int64
-	Record   Record
-	Lease    Lease
+	// Era is the era of the store for which an Acquire was decided. The write must not be made in a later one.
+	Era    int64
+	Record Record
+	Lease  Lease
 }
 
 // Next returns the next action. The rank is this instance's place among the candidates, or negative; the nonce is used
@@ -87,7 +89,7 @@
 		return Action{Kind: Wait, Until: at}
 	}
 	r := Record{Instance: e.Instance, Address: e.Address, Nonce: nonce, Term: max(e.seen.Record.Term, e.record.Term) + 1, Former: e.other}
-	action := Action{Kind: Acquire, Record: r}
+	action := Action{Kind: Acquire, Era: e.era, Record: r}
 	if e.seen.Exists {
 		action.Expected = e.seen.Revision
 	}
@@ -120,9 +122,10 @@
 }
 
 // isContinuous reports whether the key is still as this instance's last term has left it, so that no other instance has
-// held the duty since.
+// held the duty since. A state of the key from before a restore does not show that: the restored key may be as it was
+// before another instance held the duty.
 func (e *Elector) isContinuous() bool {
-	return e.seen.Exists && !e.endedAt.IsZero() && !e.otherSince && e.seen.Revision == e.term.Revision &&
+	return e.seen.Exists && e.seen.Era == e.era && !e.endedAt.IsZero() && !e.otherSince && e.seen.Revision == e.term.Revision &&
 		(e.seen.Era == e.term.Era || e.seen.Era == e.endedIn)
 }
 
