--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -173,6 +173,23 @@
 	return names
 }
 
+// PrioritiesDiffer reports whether the routes to a pool differ in priority.
+func (t *Table) PrioritiesDiffer(pool string) bool {
+	found, first := false, 0
+	for _, list := range t.routes {
+		for _, r := range list {
+			if !slices.ContainsFunc(r.PoolWeights, func(w PoolWeight) bool { return w.Pool == pool && w.Weight > 0 }) {
+				continue
+			}
+			if found && r.Priority != first {
+				return true
+			}
+			found, first = true, r.Priority
+		}
+	}
+	return false
+}
+
 // RouteCount returns the number of routes.
 func (t *Table) RouteCount() int {
 	n := 0
--- a/pkg/workspace/queue.go
+++ b/pkg/workspace/queue.go
@@ -281,6 +281,14 @@
 	}
 }
 
+// CostAhead returns the total cost of the waiting items of an item's entry that would be served before it, if it were
+// offered now.
+func (q *Queue) CostAhead(it Item) float64 {
+	q.init()
+	start := max(q.virtualTime[it.Class], q.finishTags[tagKey{it.Class, it.Workspace}])
+	return q.costAhead(&queuedItem{Item: it, startTag: start, sequence: q.lastSequence + 1})
+}
+
 // costAhead returns the total cost of the entry's items that are served before an item.
 func (q *Queue) costAhead(item *queuedItem) float64 {
 	e := q.entries[item.Entry]
