Let requests wait for room at pools whose routes differ in priority

Cause: requests of a pool that is full are sent until its engines refuse them, whatever their priority.

Change: at engine and brittle pools whose routes differ in priority, internal/relay asks pkg/admission before the first attempt of a call or stream, and before those of a stream that its targets refused. A request waits while the caller stays, the instance does not stop and it can be served in time; else it is refused as not run (pool_overloaded). Nothing changes while the room is not short, and at other pools. The room is what all instances run against the slots and memory of the open targets. The queue for brittle targets stays as it is: its turns and patience differ.

Ruled out: a new message, since the counts of arrivals are sent already.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -76,6 +76,7 @@
 // newAttempt returns an attempt at a target that was chosen for it.
 func (r *Relay) newAttempt(now time.Time, req *callerRequest, t route.Target, number int, reason string, load float64) *attempt {
 	req.attemptCount++
+	req.pool.recordStarted(req)
 	r.Log.Write(now, timeline.Event{
 		Kind: timeline.AttemptBegun, Request: req.ID, Target: t.ID, Attempt: number, Why: reason, Entry: req.route.Name, Version: t.Version, Revision: req.table.Version,
 		Inputs: []timeline.Input{{Name: "load_percent", Value: int64(100 * load)}, {Name: "left_ms", Value: req.deadline.Sub(now).Milliseconds()}},
@@ -302,6 +303,8 @@
 func (a *attempt) handleRefusal() bool {
 	if a.info.NotRun && a.res.StatusCode == http.StatusMisdirectedRequest {
 		a.req.pool.recordMisdirected(a.target.ID)
+	} else if a.info.NotRun {
+		a.req.pool.recordRefusing(time.Now(), a.target.ID)
 	}
 	return a.info.NotRun
 }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -73,6 +73,11 @@
 	}
 	c := &callHandler{relay: r, req: req, w: w, results: make(chan *attemptResult, maxRefusals+max(req.route.MaxAttempts, 1)+1)}
 	req.pool.recordRequest(time.Now())
+	if refusal := r.admitToPool(ctx, req, false); refusal != nil {
+		r.refuse(w, req, refusal)
+		return
+	}
+	r.endIfCallerLeft(req)
 	if !c.startFirst(ctx, sendCtx) {
 		refusal := req.backoffRefusal(time.Now(), 0)
 		if refusal == nil {
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -82,3 +82,17 @@
 	}
 	m.eventGap.Update(now.Sub(last).Seconds())
 }
+
+// recordAdmissionWait counts a request that has waited for room, however that ended.
+func (m *instruments) recordAdmissionWait(d time.Duration) {
+	m.set.GetOrCreateHistogram("bambooferry_admission_wait_seconds").Update(d.Seconds())
+}
+
+// recordAdmittedLate counts a request that was admitted after it has waited.
+func (m *instruments) recordAdmittedLate() {
+	m.set.GetOrCreateCounter("bambooferry_admission_admitted_total").Inc()
+}
+
+func (m *instruments) recordAdmissionRefusal(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("bambooferry_admission_refusals_total{reason=%q}", reason)).Inc()
+}
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -37,6 +37,8 @@
 	// codeTargetsLimited says that all targets take no more requests from this instance for a time, since they
 	// have named limits.
 	codeTargetsLimited = "targets_limited"
+	// codePoolOverloaded says that the pool's room is short and others go first.
+	codePoolOverloaded = "pool_overloaded"
 )
 
 // reasonCallerGone is the reason for a request whose caller has disconnected.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -68,6 +68,8 @@
 	targetConns   connPool
 	callers       callerconn.HTTPServer
 	stoppingSince atomic.Pointer[time.Time]
+	// stopping is closed when a stop begins.
+	stopping chan struct{}
 	// graceContext ends with errGraceOver when a stop calls interruptRequests.
 	graceContext      context.Context
 	interruptRequests context.CancelCauseFunc
@@ -84,6 +86,7 @@
 func (r *Relay) init() {
 	r.initOnce.Do(func() {
 		r.instruments.register(r.Metrics)
+		r.stopping = make(chan struct{})
 		if r.Links == nil {
 			r.Links = &Links{}
 		}
@@ -167,6 +170,7 @@
 func (r *Relay) shutDown() {
 	startedAt := time.Now()
 	r.stoppingSince.Store(&startedAt)
+	close(r.stopping)
 	r.callers.BeginStop()
 	r.Links.BeginStop()
 	if r.Tunnels != nil {
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -51,6 +51,8 @@
 	needsNewConn atomic.Bool
 	// sent is set when an attempt of the request has been sent.
 	sent atomic.Bool
+	// admissionKey identifies the request to admission control until its first attempt, or is empty.
+	admissionKey string
 	// disableInterrupt lets the request go on after the time at which a stop interrupts requests.
 	disableInterrupt func() bool
 }
@@ -300,14 +302,10 @@
 
 // urgencyOf ranks a request at an engine; resumed requests precede new ones.
 func urgencyOf(req *callerRequest, resumed bool) int {
-	priority := req.route.Priority
-	if req.workspace != nil && req.workspace.Priority != nil {
-		priority = *req.workspace.Priority
-	}
 	if resumed {
 		return resumedUrgency
 	}
-	return min(max(highestNewUrgency+priority, highestNewUrgency), lowestUrgency)
+	return min(max(highestNewUrgency+priorityOf(req), highestNewUrgency), lowestUrgency)
 }
 
 const (
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -102,6 +102,11 @@
 		st.idOffset, st.idOffsetKnown = req.LastEventID+1, true
 	}
 	req.pool.recordRequest(time.Now())
+	if refusal := r.admitToPool(ctx, req, false); refusal != nil {
+		r.refuse(w, req, refusal)
+		return
+	}
+	r.endIfCallerLeft(req)
 	st.performActions(st.gen.Step(now, generation.Event{Kind: generation.Started}))
 	for !st.gen.Done() && !st.aborted {
 		st.advance()
@@ -310,6 +315,7 @@
 	if current.firstEventAt.IsZero() {
 		current.firstEventAt = now
 		st.req.pool.recordFirstOutput(now, current.target)
+		st.req.pool.recordFirstOutputTime(now.Sub(current.startedAt))
 		current.observeFirstEvent(now)
 	}
 	if current.eventCount >= soundAnswerEvents && now.Sub(current.firstEventAt) >= suspectAnswerTime {
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -20,7 +20,10 @@
 	now := time.Now()
 	chosen := st.takeReservation()
 	if chosen == nil {
-		if action.Attempt > 1 && st.rerunDenial(now, st.acceptedCount) != "" {
+		if !st.admitAgain() {
+			return
+		}
+		if now = time.Now(); action.Attempt > 1 && st.rerunDenial(now, st.acceptedCount) != "" {
 			st.aborted = true
 			return
 		}
--- a/internal/relay/target_progress.go
+++ b/internal/relay/target_progress.go
@@ -68,6 +68,7 @@
 		}
 		p.applyStatements(now, progress)
 		p.applyLimits(now, progress.Limits)
+		p.applyArrivals(now, instance, name, &progress)
 		p.mu.Unlock()
 	}
 }
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -90,6 +90,8 @@
 	refusalLimits route.RefusalLimits
 	// rooms holds the calls that wait until such a target has room.
 	rooms roomQueue
+	// admission decides on requests while the room is short; it is nil where it is not enabled.
+	admission *poolAdmission
 	// reachability holds whether any target can be reached.
 	reachability route.Reachability
 	// arrivals measures the requests that this instance gets for the pool.
@@ -122,6 +124,7 @@
 		}
 		conf, _ := table.Pool(name)
 		p.update(now, conf, targets[name])
+		p.updateAdmission(table.PrioritiesDiffer(name), r.Seed)
 		p.removedAt = time.Time{}
 		r.pools[name] = p
 	}
@@ -264,6 +267,9 @@
 				p.refusalLimits.Take(now, t, load)
 				p.enginePool.RecordSent(now, t.ID, nil)
 				p.recordVersionChoice(now, criteria, t)
+				if p.admission != nil {
+					p.admission.roomAt = time.Time{}
+				}
 				p.notifyProgressChanged()
 			}
 			return t, load, true
@@ -328,7 +334,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.enginePool.RecordNotSent(now, t.ID)
-	p.rooms.wakeFirst()
+	p.roomChanged(now)
 	p.notifyProgressChanged()
 }
 
@@ -351,7 +357,7 @@
 		return false
 	}
 	p.enginePool.RecordLeft(now, t.ID)
-	p.rooms.wakeFirst()
+	p.roomChanged(now)
 	p.notifyProgressChanged()
 	return true
 }
@@ -363,7 +369,7 @@
 	defer p.mu.Unlock()
 	if counted {
 		p.enginePool.RecordLeft(now, t.ID)
-		p.rooms.wakeFirst()
+		p.roomChanged(now)
 	}
 	p.enginePool.RecordResult(now, t.ID, result, took)
 	p.notifyProgressChanged()
@@ -392,6 +398,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.losses.recordHeard(now, t.ID)
+	p.recordOwnEnd(now)
 }
 
 // recordLoad records a load that a target reported.
