Check that the part of a dead instance is shared out

Cause: the test passed with news that stay valid for 30 s, since what others leave unused is taken anyway.

Change: it checks the sum of the survivors' parts as well.

Ruled out: nothing.

--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -107,6 +107,11 @@
 	p.run(18500 * time.Millisecond)
 	t.Logf("3 of 9 instances died: %d of %d slots are used at once, %d after 3.5 s", least, playSlots, p.running)
 	require.Greater(t, p.running, playSlots*95/100)
+	parts := 0.0
+	for _, in := range p.instances[3:] {
+		parts += in.controller.arrivals.part(p.now, recentTime, leastArrivals)
+	}
+	require.InDelta(t, 1, parts, 0.15)
 }
 
 // Guards against an instance that takes the whole room after it was suspended, since it has heard of no other.
