--- a/pkg/admission/verdict.go
+++ b/pkg/admission/verdict.go
@@ -57,7 +57,7 @@
 	// OverShare means that the workspace has used its share of what is left for the priority.
 	OverShare Reason = "over_share"
 	// QueueFull means that no more requests may wait.
-	QueueFull Reason = "queue_full"
+	QueueFull Reason = "too_many_waiting"
 	// Displaced means that a request of a higher priority or another workspace took the place.
 	Displaced Reason = "displaced"
 )
