--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -55,6 +55,8 @@
 	started atomic.Bool
 	// work is the work that the request is expected to be.
 	work expectedWork
+	// admissionKey identifies the request to admission control until its first attempt, or is empty.
+	admissionKey string
 	// disableInterrupt lets the request go on after the time at which a stop interrupts requests.
 	disableInterrupt func() bool
 }
@@ -311,14 +313,10 @@
 
 // urgencyOf ranks a request at an engine; resumed requests precede new ones.
 func urgencyOf(req *callerRequest, resumed bool) int {
-	priority := req.route.Priority
-	if req.workspace != nil && req.workspace.Priority != nil {
-		priority = *req.workspace.Priority
-	}
 	if resumed {
 		return resumedUrgency
 	}
-	return min(max(highestNewUrgency+priority, highestNewUrgency), lowestUrgency)
+	return min(max(highestNewUrgency+priorityOf(req), highestNewUrgency), lowestUrgency)
 }
 
 const (
--- a/internal/relay/target_progress.go
+++ b/internal/relay/target_progress.go
@@ -73,6 +73,7 @@
 		p.applyStatements(now, progress)
 		p.applyPaces(now, progress.Paces)
 		p.applyLimits(now, progress.Limits)
+		p.applyArrivals(now, instance, name, &progress)
 		p.mu.Unlock()
 	}
 }
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -91,6 +91,8 @@
 	refusalLimits route.RefusalLimits
 	// rooms holds the calls that wait until such a target has room.
 	rooms roomQueue
+	// admission decides on requests while the room is short; it is nil where it is not enabled.
+	admission *poolAdmission
 	// reachability holds whether any target can be reached.
 	reachability route.Reachability
 	// arrivals measures the requests that this instance gets for the pool.
@@ -125,6 +127,7 @@
 		}
 		conf, _ := table.Pool(name)
 		p.update(now, conf, targets[name])
+		p.updateAdmission(table.PrioritiesDiffer(name), r.Seed)
 		p.removedAt = time.Time{}
 		r.pools[name] = p
 	}
@@ -277,6 +280,9 @@
 				p.enginePool.RecordSent(now, t.ID, nil)
 				p.beginWork(now, t, criteria)
 				p.recordVersionChoice(now, criteria, t)
+				if p.admission != nil {
+					p.admission.roomAt = time.Time{}
+				}
 				p.notifyProgressChanged()
 			}
 			return t, load, true
@@ -341,7 +347,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.enginePool.RecordNotSent(now, t.ID)
-	p.rooms.wakeFirst()
+	p.roomChanged(now)
 	p.notifyProgressChanged()
 }
 
@@ -364,7 +370,7 @@
 		return false
 	}
 	p.enginePool.RecordLeft(now, t.ID)
-	p.rooms.wakeFirst()
+	p.roomChanged(now)
 	p.notifyProgressChanged()
 	return true
 }
@@ -376,7 +382,7 @@
 	defer p.mu.Unlock()
 	if counted {
 		p.enginePool.RecordLeft(now, t.ID)
-		p.rooms.wakeFirst()
+		p.roomChanged(now)
 	}
 	p.enginePool.RecordResult(now, t.ID, result, took)
 	p.notifyProgressChanged()
@@ -405,6 +411,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.losses.recordHeard(now, t.ID)
+	p.recordOwnEnd(now)
 }
 
 // recordLoad records a load that a target reported.
--- a/pkg/route/table_test.go
+++ b/pkg/route/table_test.go
@@ -18,13 +18,17 @@
 		routes []Route
 		want   bool
 	}{
-		"none":           {},
-		"one":            {routes: []Route{stream(1, false, "p")}},
-		"equal":          {routes: []Route{stream(1, false, "p"), stream(1, false, "p")}},
-		"different":      {routes: []Route{stream(1, false, "p"), stream(0, false, "p")}, want: true},
-		"public":         {routes: []Route{stream(1, false, "p"), stream(0, true, "p")}},
-		"call":           {routes: []Route{stream(1, false, "p"), call}},
-		"other pool":     {routes: []Route{stream(1, false, "p"), stream(0, false, "q")}},
+		"none":       {},
+		"one":        {routes: []Route{stream(1, false, "p")}},
+		"equal":      {routes: []Route{stream(1, false, "p"), stream(1, false, "p")}},
+		"different":  {routes: []Route{stream(1, false, "p"), stream(0, false, "p")}, want: true},
+		"public":     {routes: []Route{stream(1, false, "p"), stream(0, true, "p")}},
+		"call":       {routes: []Route{stream(1, false, "p"), call}},
+		"other pool": {routes: []Route{stream(1, false, "p"), stream(0, false, "q")}},
+		"shared with another pool": {routes: []Route{
+			{Host: "a", Prefix: "/", Kind: Streaming, PoolWeights: []PoolWeight{{Pool: "p", Weight: 1}, {Pool: "q", Weight: 1}}},
+			{Host: "b", Prefix: "/", Kind: Streaming, Priority: 2, PoolWeights: []PoolWeight{{Pool: "p", Weight: 1}, {Pool: "r", Weight: 1}}},
+		}, want: true},
 		"without weight": {routes: []Route{stream(1, false, "p"), drained}},
 	} {
 		require.Equal(t, c.want, NewTable(1, Limits{}, c.routes, nil, nil).PrioritiesDiffer("p"), name)
