--- a/internal/server/cut_answer_test.go
+++ b/internal/server/cut_answer_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bambooferry.example/bambooferry/pkg/blackboard"
 	"bambooferry.example/bambooferry/pkg/catalogue"
 )
 
@@ -41,7 +42,7 @@
 // TestCutAnswerOfTargetIsTakenAsWhole guards against a caller that gets a success with an empty or short body since the
 // target's connection ended in the head or in the body, on each path to targets.
 func TestCutAnswerOfTargetIsTakenAsWhole(t *testing.T) {
-	s := &Server{Client: NewClient(time.Second), Limits: DefaultLimits()}
+	s := &Server{Client: NewClient(time.Second), Limits: DefaultLimits(), Board: blackboard.New()}
 	require.NoError(t, s.initCalls(context.Background()))
 	c := &call{method: http.MethodGet, deadline: time.Now().Add(10 * time.Minute)}
 	paths := map[string]func(target catalogue.Target) (body string, err error){
--- a/pkg/usage/message.go
+++ b/pkg/usage/message.go
@@ -35,6 +35,9 @@
 	Windows Totals `json:"windows,omitempty"`
 }
 
+// maxUnixMillis bounds times in messages, which lies in the year 2109, so that differences between them do not overflow.
+const maxUnixMillis = 1 << 42
+
 // Validate checks a message but for its counts, which a Collector checks one by one.
 func (m *Counts) Validate() error {
 	switch {
@@ -42,7 +45,7 @@
 		return &MessageError{Field: "instance"}
 	case m.Incarnation <= 0:
 		return &MessageError{Field: "incarnation"}
-	case m.ClockMillis <= 0:
+	case m.ClockMillis <= 0 || m.ClockMillis > maxUnixMillis:
 		return &MessageError{Field: "clock_ms"}
 	case len(m.Windows) > maxMessageWindows:
 		return &MessageError{Field: "windows"}
@@ -71,7 +74,7 @@
 	switch {
 	case m.Instance == "" || len(m.Instance) > maxName:
 		return &MessageError{Field: "instance"}
-	case m.TrueMillis <= 0:
+	case m.TrueMillis <= 0 || m.TrueMillis > maxUnixMillis:
 		return &MessageError{Field: "true_ms"}
 	case m.BoundMillis < 0 || m.BoundMillis > maxRoundTrip.Milliseconds()*100:
 		return &MessageError{Field: "bound_ms"}
