Fix what the reviews of placement and admission control found

Cause (by review): a caller's token counts were not bounded and went into shared means, in the worst case to a message that JSON can't encode, which stopped the exchange between instances; the end of one of two requests with one id at a target ended the work of both; a hanging call kept its work; pools without a model paid for estimates; a message with expected work could become too long to be sent at all; a time that a concurrent caller had taken earlier cleared the counts of arrivals and of the retry budget; the wait for room counted as a target's silence; requests that waited starved when an open target stated no slots; full brittle targets dropped out of the room; keys of waiting requests came again; a call whose caller had left was not sent at pools without admission control. Change: as the reviews suggest, smallest form. Counts are read target by target instead of from all instances' maps.

--- a/internal/gossip/progress.go
+++ b/internal/gossip/progress.go
@@ -149,7 +149,7 @@
 	}
 }
 
-// broadcast sends a message; if it is too long, it first omits the paces, then the backoffs, the silent and replaced targets
+// broadcast sends a message; if it is too long, it first omits the paces and the expected work, then the backoffs, the silent and replaced targets
 // and the successors, then the rooms of brittle targets, and then the requests in progress: leaving and limited targets
 // must reach the others.
 func (x *ProgressExchange) broadcast(m *progressMessage) error {
@@ -163,6 +163,7 @@
 			return nil
 		case len(m.Paces) > 0:
 			m.Paces = nil
+		case omitWork(m.InProgress):
 		case len(m.SilentTargets)+len(m.ReplacedTargets)+len(m.Successors)+len(m.BackoffMillis) > 0:
 			m.SilentTargets, m.ReplacedTargets, m.Successors, m.BackoffMillis = nil, nil, nil, nil
 		case len(m.RefusalLimits) > 0:
@@ -175,6 +176,17 @@
 	}
 }
 
+// omitWork removes the expected work from counts, and reports whether there was any.
+func omitWork(counts map[string]engine.RequestCounts) bool {
+	omitted := false
+	for id, c := range counts {
+		if short := (engine.RequestCounts{Running: c.Running, Pending: c.Pending}); c != short {
+			counts[id], omitted = short, true
+		}
+	}
+	return omitted
+}
+
 // HandleMessage processes a message from another instance.
 func (x *ProgressExchange) HandleMessage(now time.Time, data []byte) {
 	m := progressMessage{}
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -29,7 +30,6 @@
 type poolAdmission struct {
 	core    admission.Controller
 	waiting map[string]chan admission.Verdict
-	lastKey uint64
 	room    admission.Room
 	// roomAt is when room was computed, or zero if it has changed since.
 	roomAt time.Time
@@ -67,9 +67,11 @@
 	if a == nil {
 		return admission.Verdict{Decision: admission.Admit}, nil
 	}
-	a.lastKey++
-	req.admissionKey = strconv.FormatUint(a.lastKey, 10)
-	a.observeNeed(req)
+	p.lastAdmissionKey++
+	req.admissionKey = strconv.FormatUint(p.lastAdmissionKey, 10)
+	if !again && p.model != nil {
+		a.observeNeed(req, float64(p.model.MemoryTokens))
+	}
 	usual := a.firstOutput
 	if req.route.Kind != route.Streaming {
 		usual = p.enginePool.ServiceTime()
@@ -193,9 +195,11 @@
 }
 
 // observeNeed averages the memory that the pool's requests need while they run: what they write grows from nothing.
-func (a *poolAdmission) observeNeed(req *callerRequest) {
-	need := float64(req.PromptTokens) + float64(req.OutputTokens)/2
-	if need == 0 {
+//
+// A caller can state any number, but no request that runs needs more than one engine's memory.
+func (a *poolAdmission) observeNeed(req *callerRequest, memory float64) {
+	need := min(float64(req.PromptTokens)+float64(req.OutputTokens)/2, memory)
+	if need <= 0 {
 		return
 	}
 	if a.memoryNeed == 0 {
@@ -211,28 +215,27 @@
 	if !a.roomAt.IsZero() && now.Sub(a.roomAt) < roomAge {
 		return a.room
 	}
-	room, memory, counts := admission.Room{ServiceTime: p.enginePool.ServiceTime()}, 0.0, p.enginePool.CountsByTarget(now)
+	room, memory := admission.Room{ServiceTime: p.enginePool.ServiceTime()}, 0.0
 	if p.model != nil {
 		memory = float64(p.model.MemoryTokens)
 	}
+	maps.DeleteFunc(a.refusing, func(_ string, until time.Time) bool { return !now.Before(until) })
 	for i := range p.targets {
 		t := &p.targets[i]
-		if !p.isOpen(now, t) || p.losses.lostRecently(now, t.ID) {
+		if !p.isOpenIfRoom(now, t) || p.losses.lostRecently(now, t.ID) {
 			continue
 		}
 		if t.Slots == 0 {
-			room = admission.Room{}
+			room = admission.Room{Unlimited: true}
 			break
 		}
 		slots := admission.SlotsByMemory(t.Slots, memory, a.memoryNeed)
-		n := counts[t.ID]
+		n := p.enginePool.CountsOf(now, t.ID)
 		room.Slots += slots
 		room.Running += min(n.All, slots)
 		room.Own += n.Own
 		if now.Before(a.refusing[t.ID]) {
 			room.Refusing += max(slots-n.All, 0)
-		} else {
-			delete(a.refusing, t.ID)
 		}
 	}
 	a.room, a.roomAt = room, now
@@ -241,7 +244,7 @@
 
 // requestSize returns the size of a request in tokens, or in bytes if they are not stated.
 func requestSize(req *callerRequest) int {
-	if n := req.PromptTokens + req.OutputTokens; n > 0 {
+	if n := min(req.PromptTokens, maxStatedTokens) + min(req.OutputTokens, maxStatedTokens); n > 0 {
 		return n
 	}
 	return len(req.body)
@@ -280,8 +283,8 @@
 				r.instruments.recordAdmittedLate()
 			}
 			return r.admissionRefusal(now, req, &v)
-		case now := <-check.C:
-			req.pool.tickAdmission(now)
+		case <-check.C:
+			req.pool.tickAdmission(time.Now())
 		case <-r.stopping:
 			req.pool.leaveAdmission(time.Now(), req.admissionKey)
 			return notRunRefusal(codeStopping, stoppingRetryAfter)
@@ -307,7 +310,7 @@
 
 // endIfCallerLeft ends a request whose caller has left before anything was sent.
 func (r *Relay) endIfCallerLeft(req *callerRequest) {
-	if req.http.Context().Err() == nil {
+	if req.admissionKey == "" || req.http.Context().Err() == nil {
 		return
 	}
 	r.logEnd(req, string(generation.NotRun), req.callerEndReason(), 0)
@@ -340,5 +343,10 @@
 		st.backoffRefusal, st.aborted = refusal, true
 		return false
 	}
-	return st.ctx.Err() == nil
+	if st.ctx.Err() != nil {
+		return false
+	}
+	// The wait for room says nothing about targets.
+	st.handleEvent(generation.Event{Kind: generation.Delayed})
+	return true
 }
--- a/internal/relay/attempt_pace.go
+++ b/internal/relay/attempt_pace.go
@@ -42,6 +42,9 @@
 
 // recordFirstEvent records that the target has read the prompt.
 func (a *attempt) recordFirstEvent(now time.Time) {
+	if a.req.work.id == "" {
+		return
+	}
 	p := a.req.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -56,6 +59,9 @@
 
 // recordEvent records an event of a stream.
 func (a *attempt) recordEvent(now time.Time) {
+	if a.req.work.id == "" {
+		return // the pool did not place requests by work when the attempt began
+	}
 	if !a.pace.lastAt.IsZero() && len(a.pace.gaps) < maxGaps {
 		a.pace.gaps = append(a.pace.gaps, now.Sub(a.pace.lastAt))
 	}
@@ -76,12 +82,17 @@
 	p := a.req.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.placement.enabled() {
+	pl := &p.placement
+	if a.req.work.id == "" {
 		return
 	}
-	pl := &p.placement
 	streams := float64(pl.backlog.At(now, a.target.ID).Streams)
-	pl.backlog.End(now, a.target.ID, a.req.work.id)
+	if !a.hangs {
+		pl.backlog.End(now, a.target.ID, a.req.work.id)
+	}
+	if !pl.enabled() {
+		return
+	}
 	if a.req.route.Kind != route.Streaming {
 		if whole {
 			pl.estimator.RecordCall(now, a.req.workRequest(), now.Sub(a.startedAt), max(a.pace.slowness, 0))
@@ -93,7 +104,7 @@
 		pl.paces.RecordWriting(now, a.target.Address, p.eventTokens(), a.pace.gaps[len(a.pace.gaps)/2], streams)
 	}
 	if whole && !a.req.Resuming && a.number == 1 {
-		pl.eventSize.Record(now, a.req.OutputTokens, a.eventCount)
+		pl.eventSize.Record(now, min(a.req.OutputTokens, maxStatedTokens), a.eventCount)
 		pl.estimator.RecordOutput(now, a.req.workRequest(), int(float64(a.eventCount)*p.eventTokens()))
 	}
 }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -280,6 +280,7 @@
 	a.relay.checkSilentTarget(now, a.target, silentCallTime, a.conn)
 	if !a.hangs && a.silentSincePathLost() && a.req.pool.recordHanging(now, a.target, a.startedAt) {
 		a.hangs = true
+		withLock(&a.req.pool.mu, func() { a.req.pool.placement.backlog.End(now, a.target.ID, a.req.work.id) })
 		a.relay.Log.Write(now, timeline.Event{
 			Kind: "attempt_hangs", Request: a.req.ID, Target: a.target.ID, Attempt: a.number, Why: reasonPathLost, Entry: a.req.route.Name, Decision: "not_counted",
 			Inputs: []timeline.Input{{Name: "begun_ms", Value: ageMillis(now, a.startedAt)}, {Name: "lost_ms", Value: ageMillis(now, a.relay.Links.lostSince(a.target))}},
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -17,6 +17,9 @@
 	// paceReportWindow is how long a slowness that a target has stated is told to other instances: one or two messages.
 	// Longer repeats would cost more bytes than a lost statement does harm.
 	paceReportWindow = 200 * time.Millisecond
+	// maxStatedTokens bounds the token counts that a caller states, so that a false one does not distort what is known of
+	// other requests.
+	maxStatedTokens = 1 << 20
 	// expectedTolerance is the relative difference up to which a statement is what was expected, so that others are not told
 	// of it within repeatPace of the last one.
 	expectedTolerance = 0.1
@@ -41,6 +44,8 @@
 	predictor workload.Predictor
 	// toldAt holds when other instances were last told a statement of a target.
 	toldAt map[netip.AddrPort]time.Time
+	// engines is set if the pool's targets run a model.
+	engines bool
 	// memoryTokens is the number of tokens that an engine keeps for requests, or 0.
 	memoryTokens float64
 }
@@ -52,7 +57,7 @@
 
 // update applies the pool's model and keeps what is known of the present targets only.
 func (pl *placement) update(model *route.EngineSpec, targets []route.Target, names []string) {
-	pl.memoryTokens = 0
+	pl.engines, pl.memoryTokens = model != nil, 0
 	if model != nil {
 		pl.memoryTokens = (1 - copyMemoryShare) * float64(model.MemoryTokens)
 	}
@@ -78,7 +83,7 @@
 
 // enabled reports whether requests are placed by the work that they are expected to be: once a target has stated how slow its
 // machine is. Targets that are alike are chosen as well by counts, which need less bytes.
-func (pl *placement) enabled() bool { return pl.paces.Stated() }
+func (pl *placement) enabled() bool { return pl.engines && pl.paces.Stated() }
 
 // poolPace gives the pace of targets by name.
 type poolPace struct{ *placement }
@@ -126,7 +131,7 @@
 func (req *callerRequest) workRequest() workload.Request {
 	r := workload.Request{Route: req.route.Name, Workspace: workspaceName(req), Bytes: len(req.body)}
 	if req.route.Kind == route.Streaming {
-		r.PromptTokens, r.OutputTokens, r.OutputHint = req.PromptTokens, req.OutputTokens, req.OutputHint
+		r.PromptTokens, r.OutputTokens, r.OutputHint = min(req.PromptTokens, maxStatedTokens), min(req.OutputTokens, maxStatedTokens), min(req.OutputHint, maxStatedTokens)
 	}
 	return r
 }
@@ -165,7 +170,7 @@
 // chooseCandidate chooses one of the targets, by expected work if that is known; the caller holds mu.
 func (p *pool) chooseCandidate(now time.Time, targets []engine.AvailableTarget, criteria targetCriteria) (policy.Candidate, bool) {
 	w := criteria.work
-	if w == nil || p.model == nil || criteria.sendsNothing {
+	if w == nil || criteria.sendsNothing {
 		// A copy takes memory only, of which slow engines, which have fewer requests, have as much as others.
 		return p.enginePool.ChooseCandidate(now, targets, nil, nil)
 	}
@@ -230,7 +235,7 @@
 
 // addPaces adds what the pool's targets have just stated about their machines; the caller holds mu.
 func (p *pool) addPaces(now time.Time, paces map[string]gossip.PaceStatement) {
-	if !p.placement.paces.Stated() {
+	if !p.placement.enabled() {
 		return
 	}
 	local := p.placement.paces.LocalStatements(now)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -107,6 +107,9 @@
 		return
 	}
 	r.endIfCallerLeft(req)
+	// The wait for room says nothing about targets.
+	now = time.Now()
+	st.gen.ResumeWait, st.gen.AcceptWait = time.Until(req.deadline), time.Until(req.deadline)
 	st.performActions(st.gen.Step(now, generation.Event{Kind: generation.Started}))
 	for !st.gen.Done() && !st.aborted {
 		st.advance()
@@ -358,6 +361,9 @@
 	st.lastSentAt = time.Now()
 	if st.lastSentAt.Sub(now) > slowWriteThreshold {
 		// The time in which the caller blocked the stream says nothing about the target.
+		if st.currentAttempt != nil {
+			st.currentAttempt.pace.lastAt = time.Time{}
+		}
 		st.gen.Step(st.lastSentAt, generation.Event{Kind: generation.Paused})
 		st.gen.Step(st.lastSentAt, generation.Event{Kind: generation.Resumed})
 	}
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -92,7 +92,9 @@
 	// rooms holds the calls that wait until such a target has room.
 	rooms roomQueue
 	// admission decides on requests while the room is short; it is nil where it is not enabled.
-	admission *poolAdmission
+	// lastAdmissionKey outlives admission, so that keys are not used again.
+	lastAdmissionKey uint64
+	admission        *poolAdmission
 	// reachability holds whether any target can be reached.
 	reachability route.Reachability
 	// arrivals measures the requests that this instance gets for the pool.
--- a/pkg/admission/arrivals.go
+++ b/pkg/admission/arrivals.go
@@ -30,6 +30,9 @@
 // advance drops the bins that have left the window.
 func (b *binnedCount) advance(now time.Time) {
 	n := binOf(now)
+	if n <= b.last && b.last-n < int64(len(b.bins)) {
+		return // the times of concurrent callers are not in order
+	}
 	if n < b.last || n-b.last >= int64(len(b.bins)) {
 		clear(b.bins)
 		b.last = n
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -186,6 +186,7 @@
 // Ended records that a request of this instance has ended at a target that ran it.
 func (c *Controller) Ended(now time.Time) {
 	if c.short {
+		c.ownEnds.any(now) // drops old ones
 		c.ownEnds.at = append(c.ownEnds.at, now)
 	}
 }
@@ -221,7 +222,10 @@
 	if now.Before(c.heldUntil) {
 		room.Running = max(room.Running, c.heldRunning)
 	}
-	c.seenAt, c.lastRunning = now, room.Running
+	c.lastRunning = room.Running
+	if now.After(c.seenAt) {
+		c.seenAt = now
+	}
 	room.Running += len(c.admitted)
 	room.Own += len(c.admitted)
 	if short := c.isShort(room); short != c.short {
--- a/pkg/admission/room.go
+++ b/pkg/admission/room.go
@@ -10,6 +10,8 @@
 	Running, Own int
 	// Refusing is the number of further slots at targets that refuse requests now though they seem to be free.
 	Refusing int
+	// Unlimited is set if the room is not known, so that each request may start.
+	Unlimited bool
 	// ServiceTime is how long a request takes on average, or 0 if it is not known.
 	ServiceTime time.Duration
 }
--- a/pkg/admission/share.go
+++ b/pkg/admission/share.go
@@ -78,6 +78,9 @@
 
 // mayStart returns what lets a request of a priority start now.
 func (c *Controller) mayStart(now time.Time, room Room, priority int) start {
+	if room.Unlimited {
+		return onFreeRoom
+	}
 	free := room.Free()
 	within := float64(room.Own+1) <= c.arrivals.part(now, recentTime, leastArrivals)*float64(room.Slots)
 	first := c.classes.shareAbove(now, priority) == 0
--- a/pkg/booking/sharedbudget.go
+++ b/pkg/booking/sharedbudget.go
@@ -133,6 +133,9 @@
 // window.
 func (b *SharedRetryBudget) currentCounts(now time.Time) *SendCounts {
 	n := now.UnixNano() / max(int64(b.Window)/windowSlices, 1)
+	if n < b.currentSlice && b.currentSlice-n < windowSlices {
+		n = b.currentSlice // the times of concurrent callers are not in order
+	}
 	if n-b.currentSlice >= windowSlices || n < b.currentSlice {
 		b.slices = [windowSlices]SendCounts{}
 		b.currentSlice = n
--- a/pkg/engine/share.go
+++ b/pkg/engine/share.go
@@ -116,23 +116,11 @@
 // ProgressCounts counts the requests in progress at a target: those of this instance, and those of all.
 type ProgressCounts struct{ Own, All int }
 
-// CountsByTarget returns the requests in progress by target.
-func (p *Pool) CountsByTarget(now time.Time) map[string]ProgressCounts {
-	counts := map[string]ProgressCounts{}
-	for name, t := range p.targets {
-		if t.running > 0 {
-			counts[name] = ProgressCounts{t.running, t.running}
-		}
-	}
-	for _, remote := range p.remote {
-		if now.Sub(remote.receivedAt) > remoteCountsTTL {
-			continue
-		}
-		for name, there := range remote.byTarget {
-			n := counts[name]
-			n.All += there.Running
-			counts[name] = n
-		}
+// CountsOf returns the requests in progress at a target.
+func (p *Pool) CountsOf(now time.Time, name string) ProgressCounts {
+	n := ProgressCounts{All: max(p.remoteTotal(now, name).Running, 0)}
+	if t := p.targets[name]; t != nil {
+		n.Own, n.All = t.running, n.All+t.running
 	}
-	return counts
+	return n
 }
--- a/pkg/workload/backlog.go
+++ b/pkg/workload/backlog.go
@@ -127,7 +127,10 @@
 	if t == nil {
 		return
 	}
-	t.own = slices.DeleteFunc(t.own, func(q ownRequest) bool { return q.id == id })
+	// A request may be at a target twice.
+	if i := slices.IndexFunc(t.own, func(q ownRequest) bool { return q.id == id }); i >= 0 {
+		t.own = slices.Delete(t.own, i, i+1)
+	}
 	t.prompts.remove(id)
 	b.dropEmpty(target, t)
 }
--- a/pkg/workload/prompts.go
+++ b/pkg/workload/prompts.go
@@ -69,7 +69,9 @@
 
 // remove removes an own prompt whose request has ended.
 func (q *promptQueue) remove(id string) {
-	q.list = slices.DeleteFunc(q.list, func(p prompt) bool { return p.instance == "" && p.id == id })
+	if i := slices.IndexFunc(q.list, func(p prompt) bool { return p.instance == "" && p.id == id }); i >= 0 {
+		q.list = slices.Delete(q.list, i, i+1)
+	}
 }
 
 // forget removes an instance's prompts.
--- a/pkg/workload/remaining.go
+++ b/pkg/workload/remaining.go
@@ -37,7 +37,13 @@
 	return engine.RequestCounts{Running: r.Streams, Pending: r.Readers, Read: tenths(r.Read), Write: tenths(r.Write), Memory: tenths(r.Memory)}
 }
 
-func tenths(v float64) float64 { return math.Round(v*10) / 10 }
+// tenths rounds a figure for a message; JSON has no NaN and no infinity.
+func tenths(v float64) float64 {
+	if math.IsNaN(v) || math.IsInf(v, 0) {
+		return 0
+	}
+	return math.Round(v*10) / 10
+}
 
 func (r *Remaining) add(o Remaining) {
 	r.Streams += o.Streams
--- a/pkg/workload/usual.go
+++ b/pkg/workload/usual.go
@@ -34,7 +34,8 @@
 	if !u.learned() {
 		return fallback
 	}
-	return time.Duration(u.median)
+	// Rates are divided by it.
+	return max(time.Duration(u.median), time.Nanosecond)
 }
 
 // loadClass returns the class of a target with the given number of streams; steps take longer if there are more.
