--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -59,8 +59,13 @@
 	silenceLogged bool
 	// sent is set when bytes of the request may have reached the target.
 	sent bool
-	info ResponseInfo
-	res  *http.Response
+	// staleCount is the number of responses to earlier requests that were discarded.
+	staleCount int
+	// unsentBytes is how much the target's machine had not acknowledged when the connection was closed, or -1 if that is
+	// not known.
+	unsentBytes int
+	info        ResponseInfo
+	res         *http.Response
 	// firstEventAt is when the first event of the response was received.
 	firstEventAt time.Time
 	lastEventAt  time.Time
@@ -116,7 +121,7 @@
 	a.req.pool.recordSent(a.req)
 	targetReq := a.buildRequest(info)
 	res, err := c.roundTrip(targetReq)
-	for stale := 0; err == nil; stale++ {
+	for ; err == nil; a.staleCount++ {
 		a.info = a.relay.Codec.ParseResponse(time.Now(), res)
 		if a.info.RequestID == "" && a.req.ID != "" && c.reused {
 			// It may be a late copy of the response to an earlier request.
@@ -130,7 +135,8 @@
 			return nil
 		}
 		// This is a late response to an earlier request; the response to this one follows it.
-		if stale >= maxStaleResponses {
+		a.recordStale(time.Now())
+		if a.staleCount >= maxStaleResponses {
 			return &ResponseError{Rule: "request_id"}
 		}
 		if _, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxBufferedBody)); err == nil {
@@ -206,6 +212,7 @@
 		if reusable {
 			a.relay.targetConns.put(now, a.conn, a.info.KeepAlive)
 		} else {
+			a.unsentBytes = a.conn.unsentBytes()
 			_ = a.conn.Close()
 		}
 	}
@@ -248,10 +255,41 @@
 	a.relay.instruments.recordAttempt(a.req, reason)
 	a.relay.Log.Write(now, timeline.Event{
 		Kind: kind, Request: a.req.ID, Target: a.target.ID, Member: a.carrier(), Attempt: a.number, Why: reason,
-		Inputs: []timeline.Input{{Name: "took_ms", Value: took.Milliseconds()}, {Name: "status", Value: int64(a.status())}},
+		Inputs: append([]timeline.Input{{Name: "took_ms", Value: took.Milliseconds()}, {Name: "status", Value: int64(a.status())}}, a.connInputs()...),
 	})
 }
 
+// connInputs returns the inputs of the log line on an attempt's end that show how its response was paired with its request.
+func (a *attempt) connInputs() []timeline.Input {
+	if a.conn == nil {
+		return nil
+	}
+	inputs := []timeline.Input{{Name: "conn_requests", Value: int64(len(a.conn.carried))}, {Name: "stale", Value: int64(a.staleCount)}}
+	if a.res != nil && a.info.RequestID == "" {
+		inputs = append(inputs, timeline.Input{Name: "without_id", Value: 1})
+	}
+	if a.unsentBytes != 0 {
+		inputs = append(inputs, timeline.Input{Name: "unsent_bytes", Value: int64(a.unsentBytes)})
+	}
+	return inputs
+}
+
+// recordStale counts and logs a response to an earlier request.
+func (a *attempt) recordStale(now time.Time) {
+	a.relay.instruments.recordStale(a.info.NotRun)
+	a.relay.Log.Write(now, timeline.Event{
+		Kind: "stale_response", Request: a.req.ID, Target: a.target.ID, Member: a.carrier(), Attempt: a.number, Decision: "discard",
+		Inputs: []timeline.Input{{Name: "conn_requests", Value: int64(len(a.conn.carried))}, {Name: "not_run", Value: boolValue(a.info.NotRun)}},
+	})
+}
+
+func boolValue(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // silentSincePathLost reports whether the attempt waits on a direct connection that has received no data since its path
 // was lost.
 func (a *attempt) silentSincePathLost() bool {
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -14,6 +14,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"bambooferry.example/bambooferry/internal/tunnel"
 	"bambooferry.example/bambooferry/pkg/route"
@@ -174,6 +175,21 @@
 	}
 }
 
+// unsentBytes returns how much of what was sent the other end has not acknowledged, or -1 if that is not known.
+func (c *conn) unsentBytes() int {
+	n := -1
+	if sc, ok := c.Conn.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) {
+				if queued, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+					n = queued
+				}
+			})
+		}
+	}
+	return n
+}
+
 // earlyResponseTimeout bounds the wait for the response of a target that did not accept the
 // complete request.
 const earlyResponseTimeout = 100 * time.Millisecond
--- a/internal/relay/late_copy_test.go
+++ b/internal/relay/late_copy_test.go
@@ -99,6 +99,7 @@
 			require.Equal(t, c.status, res.status, res.body)
 			if c.status == 200 {
 				require.Equal(t, "/book/later", res.body)
+				require.Contains(t, tr.log.String(), `"stale_response"`)
 			}
 			for i := range 5 {
 				res := tr.request("POST", fmt.Sprint("/book/last-", i), "")
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -57,6 +58,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("bambooferry_target_statements_total{statement=%q}", statement)).Inc()
 }
 
+// recordStale counts responses to earlier requests, which were discarded; notRun is set for those that state a refusal.
+func (m *instruments) recordStale(notRun bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("bambooferry_stale_responses_total{not_run=%q}", strconv.FormatBool(notRun))).Inc()
+}
+
 // recordCrashCheck counts the checks of targets that lost a request: "connection_refused",
 // "connection_closed", "other_incarnation", "connection_accepted" or "no_connection".
 func (m *instruments) recordCrashCheck(result string) {
