Close connections whose discarded body was not read to its end

Callers saw: a call that must run once was answered 503 as not run although it had run, or ran up to three times at the same engine.

Cause: a refusal's body, and that of a late response, were discarded with a limit of 256 KiB. Reaching the limit is not an error, so the attempt counted as complete and its connection was kept, or read on. The unread rest of the body was then read as the response to the next request. If it holds a refusal with that request's id, the refusal is believed: the call is offered again, or its caller is refused.

Change: discardBody reports whether the body ended within the limit; else the connection is closed. It serves refused calls, refused streams, late responses and the checks for successors.

Ruled out: bodies that are kept to be passed on (readBody) already tell an unread rest from the end of the body. That an engine of the users sent a refusal of this length is not shown.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -139,9 +139,10 @@
 		if a.staleCount >= maxStaleResponses {
 			return &ResponseError{Rule: "request_id"}
 		}
-		if _, err = io.Copy(io.Discard, io.LimitReader(res.Body, maxBufferedBody)); err == nil {
-			res, err = c.readResponse(targetReq)
+		if !discardBody(res.Body) {
+			return &ResponseError{Rule: "stale_body"}
 		}
+		res, err = c.readResponse(targetReq)
 	}
 	return err
 }
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -241,8 +241,8 @@
 	}
 	if a.handleRefusal() {
 		result.notRun = true
-		_, err := io.Copy(io.Discard, io.LimitReader(a.res.Body, maxBufferedBody))
-		a.finish(time.Now(), engine.RequestResult{Failed: a.res.StatusCode != http.StatusMisdirectedRequest, Unreachable: a.res.StatusCode == http.StatusMisdirectedRequest}, err == nil, "not_run")
+		complete := discardBody(a.res.Body)
+		a.finish(time.Now(), engine.RequestResult{Failed: a.res.StatusCode != http.StatusMisdirectedRequest, Unreachable: a.res.StatusCode == http.StatusMisdirectedRequest}, complete, "not_run")
 		return result
 	}
 	a.relay.recordStart(now, a.req)
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -13,6 +13,13 @@
 // hopHeaders apply to one connection only.
 var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
 
+// discardBody reads a body of at most maxBufferedBody and reports whether that was all of it. The rest of a longer one would
+// be read as the next response on its connection.
+func discardBody(body io.Reader) (complete bool) {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxBufferedBody+1))
+	return err == nil && n <= maxBufferedBody
+}
+
 // copyHeader copies a target's headers to the response to the caller.
 func copyHeader(dst, src http.Header) {
 	for name, values := range src {
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"io"
 	"mime"
 	"net/http"
 	"net/netip"
@@ -131,8 +130,8 @@
 		ev.Kind = generation.Refused
 		st.refusals++
 		misdirected := current.res.StatusCode == http.StatusMisdirectedRequest
-		_, err := io.Copy(io.Discard, io.LimitReader(current.res.Body, maxBufferedBody))
-		st.endAttempt(engine.RequestResult{Unreachable: misdirected}, err == nil, "not_run")
+		complete := discardBody(current.res.Body)
+		st.endAttempt(engine.RequestResult{Unreachable: misdirected}, complete, "not_run")
 	default:
 		st.acceptedCount++
 		if st.handleFailedResponse(current, &ev) {
--- a/internal/relay/successor.go
+++ b/internal/relay/successor.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -78,7 +77,7 @@
 		return "", errors.CombineErrors(err, c.Close())
 	}
 	info := r.Codec.ParseResponse(time.Now(), res)
-	if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxBufferedBody)); err != nil || res.Close || !hasExplicitEnd(res) {
+	if !discardBody(res.Body) || res.Close || !hasExplicitEnd(res) {
 		_ = c.Close()
 	} else {
 		r.targetConns.put(time.Now(), c, info.KeepAlive)
