Send HEAD requests and requests without an id on connections of their own

Callers saw: a response read from the wrong place on a kept connection (502 for a call that ran), the late response to another request in place of the own one, and a call offered again after a refusal that names no request.

Cause: late responses are discarded with the method of the current request. The header of a response to HEAD states the length of a body that does not follow, so as many bytes of the next response are discarded with it. A request without an id takes the first response that has none. A refusal without an id was taken for the own one after another response had been discarded before it.

Change: neither kind of request uses a connection that others use, and nothing without an id is believed after a discarded response.

Result: TestLateAnswerIsNotTheNextAnswer (2 of 2 cases) and TestUnnamedResponseAfterStaleOneIsNotBelieved failed before; they pass.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -96,7 +96,7 @@
 	begunAt := time.Now()
 	var c *conn
 	var err error
-	if a.req.needsNewConn.Load() {
+	if a.req.needsNewConn.Load() || !a.req.sharesConn() {
 		c, err = a.relay.targetConns.dial(ctx, a.target)
 	} else {
 		c, err = a.relay.targetConns.get(ctx, a.target, a.req.ID)
@@ -123,7 +123,7 @@
 	res, err := c.roundTrip(targetReq)
 	for ; err == nil; a.staleCount++ {
 		a.info = a.relay.Codec.ParseResponse(time.Now(), res)
-		if a.info.RequestID == "" && a.req.ID != "" && c.reused {
+		if a.info.RequestID == "" && a.req.ID != "" && (c.reused || a.staleCount > 0) {
 			// It may be a late copy of the response to an earlier request.
 			return &ResponseError{Rule: ruleNoRequestID}
 		}
@@ -147,6 +147,13 @@
 	return err
 }
 
+// sharesConn reports whether a request may use a connection that other requests use: its id names its response, and the
+// response's end can be told from its header. The header of a response to HEAD states the length of a body that does not
+// follow, which is not known of a late one.
+func (req *callerRequest) sharesConn() bool {
+	return req.ID != "" && req.http.Method != http.MethodHead
+}
+
 // buildRequest builds the target's request from the caller's.
 func (a *attempt) buildRequest(info AttemptInfo) *http.Request {
 	httpReq := a.req.http
@@ -209,7 +216,7 @@
 	a.finished = true
 	took := now.Sub(a.startedAt)
 	if a.conn != nil {
-		reusable := a.cancelClose() && complete && !a.res.Close && hasExplicitEnd(a.res)
+		reusable := a.cancelClose() && complete && !a.res.Close && hasExplicitEnd(a.res) && a.req.sharesConn()
 		if reusable {
 			a.relay.targetConns.put(now, a.conn, a.info.KeepAlive)
 		} else {
