Do not believe a refusal with the status of a request that ran

Callers saw: a call that must run once was run by up to three engines, or answered 503 although it ran, where an engine's response had both the header of a refusal and a status such as 200, 302, 500 or 504.

Cause: the header alone counted as the statement that the request was not run, with any status.

Change: only 4xx and 503 can refuse. Any other status beside the header contradicts it, and the outcome is unknown (502, contradictory_refusal).

Result: TestContradictoryRefusalIsNotBelieved failed for 200, 204, 302, 500, 502 and 504 before; it passes. That an engine of the users sent such a response is not shown.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -66,6 +66,8 @@
 	unsentBytes int
 	info        ResponseInfo
 	res         *http.Response
+	// contradictory is set when the response states with the status of a request that ran that it did not run.
+	contradictory bool
 	// firstEventAt is when the first event of the response was received.
 	firstEventAt time.Time
 	lastEventAt  time.Time
@@ -129,6 +131,8 @@
 		}
 		if a.info.RequestID == "" || a.info.RequestID == a.req.ID {
 			a.res = res
+			a.contradictory = a.info.NotRun && !canRefuse(res.StatusCode)
+			a.info.NotRun = a.info.NotRun && !a.contradictory
 			a.req.pool.recordLoad(a.target, a.info.Load)
 			a.recordSlowness(time.Now())
 			a.recordStatements(time.Now())
@@ -189,6 +193,8 @@
 // checkResponse returns why the response can't be passed on as the target's, or nil.
 func (a *attempt) checkResponse() error {
 	switch {
+	case a.contradictory:
+		return &ResponseError{Rule: "contradictory_refusal"}
 	case a.info.RequestID == "" && a.res.StatusCode < http.StatusMultipleChoices:
 		return &ResponseError{Rule: ruleNoRequestID}
 	case a.info.ContentEncoded:
@@ -202,6 +208,11 @@
 	return nil
 }
 
+// canRefuse reports whether a response with a status can state that the request was not run.
+func canRefuse(status int) bool {
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError || status == http.StatusServiceUnavailable
+}
+
 // impliesNotRun reports whether a status tells the caller that the request was not run.
 func impliesNotRun(status int) bool {
 	switch status {
--- a/internal/relay/response_pairing_test.go
+++ b/internal/relay/response_pairing_test.go
@@ -11,6 +11,25 @@
 	"github.com/stretchr/testify/require"
 )
 
+// TestContradictoryRefusalIsNotBelieved guards against a call that runs twice since the response to the first run has the
+// header of a refusal.
+func TestContradictoryRefusalIsNotBelieved(t *testing.T) {
+	for status, want := range map[int]int{200: 502, 204: 502, 302: 502, 500: 502, 502: 502, 504: 502, 400: 503, 408: 503, 421: 503, 429: 503, 503: 503} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			runs := atomic.Int64{}
+			stub := startStub(t, "e1", func(conn net.Conn, r *http.Request, _ string) bool {
+				runs.Add(1)
+				return writeResponse(conn, r, status, "", "Seal: s", "Not-Run: 1")
+			})
+			res := startRelay(t, stub).request("POST", "/book/1", "")
+			require.Equal(t, want, res.status, res.body)
+			if want == 502 {
+				require.EqualValues(t, 1, runs.Load())
+			}
+		})
+	}
+}
+
 // TestLateAnswerIsNotTheNextAnswer guards against a response that is read from the wrong place after a late one to a HEAD
 // request, which has no body, and against a late one without an id that is passed on to a request without one.
 func TestLateAnswerIsNotTheNextAnswer(t *testing.T) {
