Read what an attempt logs of its connection before the connection is kept

Callers saw nothing of it for certain. finish() put the connection of a complete response back into the pool and then read its list of carried requests for the log line, and whether its carrier was lost; another request may have been using the connection by then. After a 421, which counts as unreachable, it read reused and dataReceived as well, which the next request sets. conn_requests of attempt_ended, which is there to tell how responses were paired, could count the next request.

The log line's inputs and the loss of the carrier are taken before the connection is kept, and the connection of an attempt that counts as unreachable is closed, as closeIdle did just after.

It pairs no response wrongly: nothing that decides on an answer was read after the connection was kept.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -61,11 +61,8 @@
 	sent bool
 	// staleCount is the number of responses to earlier requests that were discarded.
 	staleCount int
-	// unsentBytes is how much the target's machine had not acknowledged when the connection was closed, or -1 if that is
-	// not known.
-	unsentBytes int
-	info        ResponseInfo
-	res         *http.Response
+	info       ResponseInfo
+	res        *http.Response
 	// contradictory is set when the response states with the status of a request that ran that it did not run.
 	contradictory bool
 	// firstEventAt is when the first event of the response was received.
@@ -226,12 +223,16 @@
 func (a *attempt) finish(now time.Time, result engine.RequestResult, complete bool, reason string) {
 	a.finished = true
 	took := now.Sub(a.startedAt)
+	// Another request may use the connection as soon as it is kept.
+	connInputs, carrierLost := a.connInputs(), a.conn != nil && a.conn.carrierLost
 	if a.conn != nil {
-		reusable := a.cancelClose() && complete && !a.res.Close && hasExplicitEnd(a.res) && a.req.sharesConn()
+		reusable := a.cancelClose() && complete && !result.Unreachable && !a.res.Close && hasExplicitEnd(a.res) && a.req.sharesConn()
 		if reusable {
 			a.relay.targetConns.put(now, a.conn, a.info.KeepAlive)
 		} else {
-			a.unsentBytes = a.conn.unsentBytes()
+			if unsent := a.conn.unsentBytes(); unsent != 0 {
+				connInputs = append(connInputs, timeline.Input{Name: "unsent_bytes", Value: int64(unsent)})
+			}
 			_ = a.conn.Close()
 		}
 	}
@@ -241,7 +242,7 @@
 	if result.Unreachable && a.sent && a.conn.reused && !a.conn.dataReceived {
 		a.req.needsNewConn.Store(true)
 	}
-	if a.conn != nil && a.conn.carrierLost {
+	if carrierLost {
 		a.relay.Links.recordCarrierFailure(now, a.conn.carrier, "")
 	}
 	if result.Unreachable && a.pathLost() {
@@ -274,7 +275,7 @@
 	a.relay.instruments.recordAttempt(a.req, reason)
 	a.relay.Log.Write(now, timeline.Event{
 		Kind: kind, Request: a.req.ID, Target: a.target.ID, Member: a.carrier(), Attempt: a.number, Why: reason,
-		Inputs: append([]timeline.Input{{Name: "took_ms", Value: took.Milliseconds()}, {Name: "status", Value: int64(a.status())}}, a.connInputs()...),
+		Inputs: append([]timeline.Input{{Name: "took_ms", Value: took.Milliseconds()}, {Name: "status", Value: int64(a.status())}}, connInputs...),
 	})
 }
 
@@ -287,9 +288,6 @@
 	if a.res != nil && a.info.RequestID == "" {
 		inputs = append(inputs, timeline.Input{Name: "without_id", Value: 1})
 	}
-	if a.unsentBytes != 0 {
-		inputs = append(inputs, timeline.Input{Name: "unsent_bytes", Value: int64(a.unsentBytes)})
-	}
 	return inputs
 }
 
