Reset the connection of a request that is given up before it is delivered

Callers saw: a stream went on at another engine, or its caller left, and the engine before began it afterwards (TWICE of streams, GONE, tokens prefilled in vain).

Cause: to give up an attempt was one ordinary close. The kernel goes on to deliver what it still holds of the request, and then the end. An engine that was paused with a full receive window reads the whole request later and begins it.

Change: if the target's machine has not acknowledged everything when an incomplete attempt is given up, its connection is reset, which drops the rest. Everything acknowledged: an ordinary close as before, since the kernel repeats a lost FIN but not a lost RST. The end of a context takes the same path, so unsent_bytes is known there too (it was -1).

Ruled out: that a reset takes back what the engine's kernel holds. A request that is acknowledged as a whole is begun by a paused engine and ends with its next read.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -61,7 +61,7 @@
 	sent bool
 	// staleCount is the number of responses to earlier requests that were discarded.
 	staleCount int
-	// unsentBytes is how much the target's machine had not acknowledged when the connection was closed, or -1 if that is
+	// unsentBytes is how much the target's machine had not acknowledged when the attempt was given up, or -1 if that is
 	// not known.
 	unsentBytes int
 	info        ResponseInfo
@@ -116,7 +116,7 @@
 	}
 	a.req.pool.recordReached(a.target)
 	a.conn = c
-	a.cancelClose = context.AfterFunc(ctx, func() { _ = c.Close() })
+	a.cancelClose = context.AfterFunc(ctx, func() { c.giveUp() })
 	c.nextCheck, c.onSilence = nextCheck, onSilence
 	a.sent = true
 	c.recordCarried(a.req.ID)
@@ -227,12 +227,13 @@
 	a.finished = true
 	took := now.Sub(a.startedAt)
 	if a.conn != nil {
-		reusable := a.cancelClose() && complete && !a.res.Close && hasExplicitEnd(a.res) && a.req.sharesConn()
-		if reusable {
+		switch reusable := a.cancelClose() && complete && !a.res.Close && hasExplicitEnd(a.res) && a.req.sharesConn(); {
+		case reusable:
 			a.relay.targetConns.put(now, a.conn, a.info.KeepAlive)
-		} else {
-			a.unsentBytes = a.conn.unsentBytes()
+		case complete:
 			_ = a.conn.Close()
+		default:
+			a.unsentBytes = a.conn.giveUp()
 		}
 	}
 	if result.Unreachable {
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -75,6 +76,9 @@
 	lastReadAt   time.Time
 	// receivedAt is when data was last received for any of the connection's requests, or when it was established.
 	receivedAt time.Time
+	// unsentBytes is the result of giveUp.
+	giveUpOnce  sync.Once
+	unsentBytes int
 }
 
 func newConn(c net.Conn, t route.Target, links *Links, carrier string) *conn {
@@ -175,17 +179,33 @@
 	}
 }
 
-// unsentBytes returns how much of what was sent the other end has not acknowledged, or -1 if that is not known.
-func (c *conn) unsentBytes() int {
-	n := -1
-	if sc, ok := c.Conn.(syscall.Conn); ok {
-		if raw, err := sc.SyscallConn(); err == nil {
-			_ = raw.Control(func(fd uintptr) {
-				if queued, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
-					n = queued
-				}
-			})
+// giveUp closes a connection whose response is not complete. It returns how much of what was sent the other end had not
+// acknowledged, or -1 if that is not known.
+//
+// If there is any, the connection is reset: after an ordinary close the kernel would still deliver it, and a target that
+// had been paused would begin a request that may run at another one by then.
+func (c *conn) giveUp() int {
+	c.giveUpOnce.Do(func() {
+		c.unsentBytes = -1
+		if sc, ok := c.Conn.(syscall.Conn); ok {
+			if raw, err := sc.SyscallConn(); err == nil {
+				_ = raw.Control(func(fd uintptr) { c.unsentBytes = dropUnsent(int(fd)) })
+			}
 		}
+		_ = c.Close()
+	})
+	return c.unsentBytes
+}
+
+// dropUnsent returns how much of what was sent is not acknowledged, and makes the close of the socket drop it.
+func dropUnsent(fd int) int {
+	n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+	if err != nil {
+		return -1
+	}
+	if n > 0 {
+		// On an error the close is an ordinary one.
+		_ = unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
 	}
 	return n
 }
