Notice the end of a tunnel while its target reads nothing

Cause: a carrier noticed that the caller's instance had closed a tunnel only after its write to the engine had returned, so not while the engine was paused with a full window. It then closed the engine's connection in the ordinary way, and the kernel delivered what the engine had not read.

Change: a write to the target is interrupted every 50 ms while it is blocked, to look whether the tunnel has ended; POLLRDHUP shows that also while bytes from the caller are unread. The end of a tunnel resets the target's connection if anything is unacknowledged. Both are on the carrier's side; the frames are unchanged. Without a blocked write there is no further timer or goroutine.

Result: TestCarrierDropsWhatIsGivenUp failed before in its three cases: a target got all 56,320 bytes of a closed tunnel, and a blocked carrier still had the connection after 400 ms. It passes 10 times with the race detector.

Not covered: an instance of an earlier build that closes a tunnel whose bytes are still in its own send buffer. Its FIN waits behind them.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -15,8 +15,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 
+	"bambooferry.example/bambooferry/internal/socket"
 	"bambooferry.example/bambooferry/internal/tunnel"
 	"bambooferry.example/bambooferry/pkg/route"
 )
@@ -179,37 +179,14 @@
 	}
 }
 
-// giveUp closes a connection whose response is not complete. It returns how much of what was sent the other end had not
-// acknowledged, or -1 if that is not known.
-//
-// If there is any, the connection is reset: after an ordinary close the kernel would still deliver it, and a target that
-// had been paused would begin a request that may run at another one by then.
+// giveUp closes a connection whose response is not complete, and drops what its target has not received: one that was
+// paused would begin a request that may run at another one by then. It returns how much of what was sent the other end
+// had not acknowledged, or -1 if that is not known.
 func (c *conn) giveUp() int {
-	c.giveUpOnce.Do(func() {
-		c.unsentBytes = -1
-		if sc, ok := c.Conn.(syscall.Conn); ok {
-			if raw, err := sc.SyscallConn(); err == nil {
-				_ = raw.Control(func(fd uintptr) { c.unsentBytes = dropUnsent(int(fd)) })
-			}
-		}
-		_ = c.Close()
-	})
+	c.giveUpOnce.Do(func() { c.unsentBytes = socket.GiveUp(c.Conn) })
 	return c.unsentBytes
 }
 
-// dropUnsent returns how much of what was sent is not acknowledged, and makes the close of the socket drop it.
-func dropUnsent(fd int) int {
-	n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
-	if err != nil {
-		return -1
-	}
-	if n > 0 {
-		// On an error the close is an ordinary one.
-		_ = unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
-	}
-	return n
-}
-
 // earlyResponseTimeout bounds the wait for the response of a target that did not accept the
 // complete request.
 const earlyResponseTimeout = 100 * time.Millisecond
--- a/internal/tunnel/doc.go
+++ b/internal/tunnel/doc.go
@@ -6,5 +6,5 @@
 // they are, and those of the target in frames, since the end of a target's bytes may be the end of its answer: a
 // carrier that fails must not look like it.
 //
-// Each tunnel belongs to two goroutines of the server; the package imports nothing of this module.
+// Each tunnel belongs to two goroutines of the server; of this module the package imports only socket.
 package tunnel
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -6,12 +6,15 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"bambooferry.example/bambooferry/internal/socket"
 )
 
 const (
@@ -21,6 +24,8 @@
 	idleTimeout = 2 * time.Minute
 	// lingerTimeout bounds the time in which the caller's instance closes a tunnel whose target has ended.
 	lingerTimeout = time.Second
+	// endCheckInterval is the time between two checks whether a tunnel has ended while its target reads nothing.
+	endCheckInterval = 50 * time.Millisecond
 	// idleCheckInterval is the time between two checks of idle tunnels.
 	idleCheckInterval = 10 * time.Second
 )
@@ -292,19 +297,42 @@
 		n, err := t.caller.Read(buf)
 		if n > 0 {
 			t.recordUse(time.Now())
-			if _, writeErr := t.target.Write(buf[:n]); writeErr != nil {
+			if writeErr := t.writeToTarget(buf[:n]); errors.Is(writeErr, errCallerEnded) {
+				err = writeErr
+			} else if writeErr != nil {
 				// The target's answer may have arrived before; carryToCaller ends the tunnel.
 				_, _ = io.Copy(io.Discard, t.caller)
 				return
 			}
 		}
 		if err != nil {
-			_ = t.target.Close()
+			socket.GiveUp(t.target)
 			return
 		}
 	}
 }
 
+// errCallerEnded is returned by writeToTarget once the caller's instance has closed the tunnel.
+var errCallerEnded = errors.New("the caller's instance has closed the tunnel")
+
+// writeToTarget writes to the target, for as long as the tunnel is open: a target that is paused may read again only
+// when its request has gone on elsewhere.
+func (t *carried) writeToTarget(b []byte) error {
+	for {
+		if err := t.target.SetWriteDeadline(time.Now().Add(endCheckInterval)); err != nil {
+			return err
+		}
+		n, err := t.target.Write(b)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		if socket.HasEnded(t.caller) {
+			return errCallerEnded
+		}
+		b = b[n:]
+	}
+}
+
 // endCaller ends the bytes for the caller's instance. What it still sends is read until it closes the tunnel, since
 // to close a connection with unread bytes resets it, and the end of the answer could be lost.
 func (t *carried) endCaller() {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -22,7 +22,12 @@
 // startTarget serves each connection with a function.
 func startTarget(t *testing.T, serve func(c *net.TCPConn)) netip.AddrPort {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	return startTargetOf(t, &net.ListenConfig{}, serve)
+}
+
+func startTargetOf(t *testing.T, config *net.ListenConfig, serve func(c *net.TCPConn)) netip.AddrPort {
+	t.Helper()
+	ln, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	done := make(chan struct{})
 	go func() {
