Let engines learn before callers that an instance breaks off requests

Cause: the end of the grace period closed the callers' connections first. The engines' followed only once net/http's read of the caller's connection had failed, the request's context had ended and a further goroutine had run: three switches of goroutines for each stream, in a process that gets a fifth of a core.

Change: HTTPServer.Close ends the contexts of all requests, gives handlers 100 ms to end, and closes the callers' connections then.

Ruled out by reading: all other ends of a stream (finish, endPanicked, endMarkedAttempt, refuse, a failed write) end the attempt before they answer or break off.

--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -7,6 +7,7 @@
 	"log"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,8 @@
 	// drainIdleTime is how long a connection must have been idle until a drain closes it: one that was
 	// opened or used more recently probably carries another request, whose answer announces the close.
 	drainIdleTime = 500 * time.Millisecond
+	// handlerEndTimeout bounds the time in which handlers end before their connections are closed.
+	handlerEndTimeout = 100 * time.Millisecond
 )
 
 // OpenConnsError reports that a drain ended before all connections were closed.
@@ -55,6 +58,8 @@
 	mu       sync.Mutex
 	listener *listener
 	conns    map[*conn]struct{}
+	// cancelRequests ends the contexts of all requests; it is nil before Serve.
+	cancelRequests context.CancelFunc
 }
 
 func (s *HTTPServer) init() {
@@ -62,12 +67,24 @@
 		s.conns = map[*conn]struct{}{}
 		s.server = http.Server{
 			Handler: http.HandlerFunc(s.serveHTTP), ReadHeaderTimeout: s.HeaderTimeout, MaxHeaderBytes: s.MaxHeaderBytes,
-			BaseContext: s.BaseContext, ConnState: s.onStateChange, ErrorLog: log.New(io.Discard, "", 0),
+			BaseContext: s.baseContext, ConnState: s.onStateChange, ErrorLog: log.New(io.Discard, "", 0),
 			ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		}
 	})
 }
 
+// baseContext returns the context from which those of all requests derive.
+func (s *HTTPServer) baseContext(ln net.Listener) context.Context {
+	ctx := context.Background()
+	if s.BaseContext != nil {
+		ctx = s.BaseContext(ln)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ctx, s.cancelRequests = context.WithCancel(ctx)
+	return ctx
+}
+
 // Serve accepts connections on ln until the server is drained or closed.
 func (s *HTTPServer) Serve(ln net.Listener) error {
 	s.init()
@@ -185,10 +202,26 @@
 	return open, serving
 }
 
-// Close closes all connections immediately, also those with a request in progress.
+// Close closes all connections, also those with a request in progress.
+//
+// The contexts of requests end first, and handlers have handlerEndTimeout to end what they do for a caller, who may send the
+// request to another instance as soon as the connection is closed.
 func (s *HTTPServer) Close(reason Reason) error {
 	for _, c := range s.openConns() {
 		c.markClosed(reason)
 	}
+	s.mu.Lock()
+	cancel := s.cancelRequests
+	s.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+	for deadline := time.Now().Add(handlerEndTimeout); s.isServing() && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
 	return s.server.Close()
 }
+
+func (s *HTTPServer) isServing() bool {
+	return slices.ContainsFunc(s.openConns(), (*conn).isServing)
+}
