--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -113,7 +113,7 @@
 	}
 	a.req.pool.recordReached(a.target)
 	a.conn = c
-	a.cancelClose = context.AfterFunc(ctx, func() { _ = c.Close() })
+	a.cancelClose = context.AfterFunc(ctx, func() { c.giveUp() })
 	c.nextCheck, c.onSilence = nextCheck, onSilence
 	a.sent = true
 	c.recordCarried(a.req.ID)
@@ -226,14 +226,15 @@
 	// Another request may use the connection as soon as it is kept.
 	connInputs, carrierLost := a.connInputs(), a.conn != nil && a.conn.carrierLost
 	if a.conn != nil {
-		reusable := a.cancelClose() && complete && !result.Unreachable && !a.res.Close && hasExplicitEnd(a.res) && a.req.sharesConn()
-		if reusable {
+		switch reusable := a.cancelClose() && complete && !result.Unreachable && !a.res.Close && hasExplicitEnd(a.res) && a.req.sharesConn(); {
+		case reusable:
 			a.relay.targetConns.put(now, a.conn, a.info.KeepAlive)
-		} else {
-			if unsent := a.conn.unsentBytes(); unsent != 0 {
+		case complete:
+			_ = a.conn.Close()
+		default:
+			if unsent := a.conn.giveUp(); unsent != 0 {
 				connInputs = append(connInputs, timeline.Input{Name: "unsent_bytes", Value: int64(unsent)})
 			}
-			_ = a.conn.Close()
 		}
 	}
 	if result.Unreachable {
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -9,13 +9,14 @@
 	"net/netip"
 	"os"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 
+	"bambooferry.example/bambooferry/internal/socket"
 	"bambooferry.example/bambooferry/internal/tunnel"
 	"bambooferry.example/bambooferry/pkg/route"
 )
@@ -75,6 +76,9 @@
 	lastReadAt   time.Time
 	// receivedAt is when data was last received for any of the connection's requests, or when it was established.
 	receivedAt time.Time
+	// unsentBytes is the result of giveUp.
+	giveUpOnce  sync.Once
+	unsentBytes int
 }
 
 func newConn(c net.Conn, t route.Target, links *Links, carrier string) *conn {
@@ -175,19 +179,12 @@
 	}
 }
 
-// unsentBytes returns how much of what was sent the other end has not acknowledged, or -1 if that is not known.
-func (c *conn) unsentBytes() int {
-	n := -1
-	if sc, ok := c.Conn.(syscall.Conn); ok {
-		if raw, err := sc.SyscallConn(); err == nil {
-			_ = raw.Control(func(fd uintptr) {
-				if queued, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
-					n = queued
-				}
-			})
-		}
-	}
-	return n
+// giveUp closes a connection whose response is not complete, and drops what its target has not received: one that was
+// paused would begin a request that may run at another one by then. It returns how much of what was sent the other end
+// had not acknowledged, or -1 if that is not known.
+func (c *conn) giveUp() int {
+	c.giveUpOnce.Do(func() { c.unsentBytes = socket.GiveUp(c.Conn) })
+	return c.unsentBytes
 }
 
 // earlyResponseTimeout bounds the wait for the response of a target that did not accept the
