Do not refuse a call with a ticket that runs when the catalogue has changed

What callers saw: a call with a ticket, sent to another instance than the ticket's, was answered 503 catalogue_differs with the outcome not_run although it ran, if the catalogue lost its entry or workspace, or lowered the limit of its body, while it ran. A caller that believes it sends the call again under another key, and it runs twice.

Cause: the forwarding instance repeats the RPC while the call runs, and the holder of the ticket looked at its catalogue before it looked for the run.

The holder now waits for a run that the ticket has started whatever the catalogue says, and refuses as not run only if there is none and the ticket has not expired; the run of an expired one may have been forgotten.

TestRunningTicketCallAfterCatalogueChange failed before: the second RPC got the refusal. It passes now, with the race detector, as do the tests of tickets of internal/deployment. The messages are unchanged.

--- a/internal/server/call_peer.go
+++ b/internal/server/call_peer.go
@@ -161,13 +161,15 @@
 			c.workspace = &d.Workspaces[i]
 		}
 	}
-	if e == nil || c.workspace == nil || int64(len(in.Body)) > e.Limits.BodyBytes {
-		out.setRefusal(newRefusal(http.StatusServiceUnavailable, "catalogue_differs", "the instance that gave the ticket has another catalogue").retryAfter(time.Second))
-		return nil
-	}
 	ctx, cancel := p.waitContext(in.DeadlineMillis)
 	defer cancel()
-	result, err := s.runOwnTicket(ctx, c)
+	var result *booking.Result
+	var err error
+	if e != nil && c.workspace != nil && int64(len(in.Body)) <= e.Limits.BodyBytes {
+		result, err = s.runOwnTicket(ctx, c)
+	} else {
+		result, err = s.awaitStartedTicketRun(ctx, now, in)
+	}
 	switch {
 	case errors.Is(err, errStillRunning):
 		out.Running = true
--- a/internal/server/ticket.go
+++ b/internal/server/ticket.go
@@ -131,12 +131,34 @@
 	if !ok {
 		return nil, newRefusal(http.StatusServiceUnavailable, "tickets_full", "the instance remembers no more tickets").retryAfter(time.Second)
 	}
-	if r.Claim.Digest != c.digest {
-		return nil, keyReusedRefusal()
-	}
 	if isNew {
 		s.calls.runInBackground(func() { s.dispatchTicketCall(c, r) })
 	}
+	return s.awaitTicketRun(ctx, r, c.digest)
+}
+
+// awaitStartedTicketRun waits for the run that a ticket has started, and refuses a call that has none. The catalogue may have
+// changed since the run began.
+func (s *Server) awaitStartedTicketRun(ctx context.Context, now time.Time, in *CallForward) (*booking.Result, error) {
+	k, err := s.ticketSigner().Verify(now, in.Ticket, in.Workspace, in.Entry)
+	if k == nil {
+		return nil, newRefusal(http.StatusBadRequest, err.Error(), "the ticket was not given for this call")
+	}
+	if r := s.calls.runs.lookup(k.Nonce); r != nil {
+		return s.awaitTicketRun(ctx, r, in.Digest)
+	}
+	if err != nil {
+		// The run may have been forgotten.
+		return nil, unknownOutcomeRefusal("ticket_expired", false)
+	}
+	return nil, newRefusal(http.StatusServiceUnavailable, "catalogue_differs", "the instance that gave the ticket has another catalogue").retryAfter(time.Second)
+}
+
+// awaitTicketRun waits until the run of a call with a digest ends, or ctx does.
+func (s *Server) awaitTicketRun(ctx context.Context, r *trackedRun, digest string) (*booking.Result, error) {
+	if r.Claim.Digest != digest {
+		return nil, keyReusedRefusal()
+	}
 	select {
 	case <-r.done:
 		outcome := s.calls.runs.outcome(r)
