Do not believe a success that states that a call was not run

What callers could see: a call that must run once ran at a second target, or was refused as not run although it ran, if the response to its first run had Bambooferry-Outcome: not_run with a status below 400.

Cause: the header was believed with any status, the same as in internal/relay before. Such a response is now no answer, and the outcome of the call is unknown. Statuses from 400 on are still believed: an instance of this product states not_run with 504 too, if the deadline passed before the call was sent.

TestSuccessThatStatesNotRunIsNotBelieved failed before with status 200 and passes now; the tests of calls of internal/deployment pass.

--- a/internal/server/call_send.go
+++ b/internal/server/call_send.go
@@ -182,7 +182,18 @@
 	if len(data) > s.Limits.MaxAnswerBytes {
 		r.Header, r.Body, r.Omitted = nil, nil, true
 	}
-	return targetResponse{r, res.Header.Get(OutcomeHeader) == string(generation.NotRun)}, nil
+	notRun := res.Header.Get(OutcomeHeader) == string(generation.NotRun)
+	if notRun && res.StatusCode < http.StatusBadRequest {
+		return targetResponse{}, &contradictoryAnswerError{Status: res.StatusCode}
+	}
+	return targetResponse{r, notRun}, nil
+}
+
+// contradictoryAnswerError reports a successful response that states that the call was not run.
+type contradictoryAnswerError struct{ Status int }
+
+func (e *contradictoryAnswerError) Error() string {
+	return fmt.Sprintf("response with status %d states that the call was not run", e.Status)
 }
 
 // classifyLoss returns the reason why a call that was sent has no response.
