Bound the lines of a response's header

Cause: a header was bounded by its 32 KiB alone. A decoded line takes some 200 bytes however short it is, so a header of short lines took about half a MiB while it was read, for each request at once.

Change: internal/header bounds what is read of a header, in bytes and in lines (256, with those of informational responses). internal/relay and internal/server read responses through it.

Ruled out: a bound of 32 KiB and 256 lines does not refuse a body that follows with many lines, whole or split at any byte. Not covered: repeatable calls, polls and orders of internal/server use net/http's own transport, which bounds headers by bytes only.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"io"
-	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -16,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"bambooferry.example/bambooferry/internal/header"
 	"bambooferry.example/bambooferry/internal/tunnel"
 	"bambooferry.example/bambooferry/pkg/route"
 )
@@ -24,8 +23,6 @@
 	// readBufferSize is the size of the buffer for data from a target; events have some hundred
 	// bytes.
 	readBufferSize = 4 << 10
-	// maxResponseHeader bounds the header of a target's response and the informational ones before it.
-	maxResponseHeader = 32 << 10
 	// maxInformational bounds the responses that are read until a final one.
 	maxInformational = 16
 	// pendingReadTimeout bounds the read of data that arrived while the process was paused, before
@@ -57,8 +54,7 @@
 	// carrierLost is set when the carrier, and not the target, has ended the connection.
 	carrierLost bool
 	reader      *bufio.Reader
-	// headerLimit bounds what is read until the header is complete.
-	headerLimit io.LimitedReader
+	header      header.Reader
 	// nextCheck is when onSilence is called; both belong to the request that uses the connection.
 	nextCheck time.Time
 	onSilence silenceFunc
@@ -79,8 +75,8 @@
 
 func newConn(c net.Conn, t route.Target, links *Links, carrier string) *conn {
 	out := &conn{Conn: c, address: t.Address, pool: t.Pool, links: links, carrier: carrier, contact: links.contactOf(t.Pool), receivedAt: time.Now()}
-	out.headerLimit = io.LimitedReader{R: silenceReader{out}, N: math.MaxInt64}
-	out.reader = bufio.NewReaderSize(&out.headerLimit, readBufferSize)
+	out.header.Src = silenceReader{out}
+	out.reader = bufio.NewReaderSize(&out.header, readBufferSize)
 	return out
 }
 
@@ -196,10 +192,13 @@
 
 // readResponse reads the header of one final response and the informational ones before it.
 func (c *conn) readResponse(r *http.Request) (*http.Response, error) {
-	c.headerLimit.N = maxResponseHeader
-	defer func() { c.headerLimit.N = math.MaxInt64 }()
+	c.header.Begin()
+	defer c.header.End()
 	for range maxInformational {
 		res, err := http.ReadResponse(c.reader, r)
+		if long := (*header.LinesError)(nil); errors.As(err, &long) {
+			return nil, &ResponseError{Rule: "header_lines"}
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/server/call_send.go
+++ b/internal/server/call_send.go
@@ -6,13 +6,13 @@
 	"context"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
 	"time"
 
+	"bambooferry.example/bambooferry/internal/header"
 	"bambooferry.example/bambooferry/pkg/booking"
 	"bambooferry.example/bambooferry/pkg/catalogue"
 	"bambooferry.example/bambooferry/pkg/generation"
@@ -158,7 +158,8 @@
 	if err := req.Write(conn); err != nil {
 		return targetResponse{}, err
 	}
-	limited := io.LimitedReader{R: conn, N: maxHeaderBytes}
+	limited := header.Reader{Src: conn}
+	limited.Begin()
 	in := bufio.NewReaderSize(&limited, 4<<10)
 	for {
 		res, err := http.ReadResponse(in, req)
@@ -166,7 +167,7 @@
 			return targetResponse{}, err
 		}
 		if res.StatusCode >= minFinalStatus {
-			limited.N = math.MaxInt64
+			limited.End()
 			defer res.Body.Close()
 			return s.readResponse(res)
 		}
--- a/internal/server/engine_conn.go
+++ b/internal/server/engine_conn.go
@@ -4,11 +4,11 @@
 	"bufio"
 	"context"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"time"
 
+	"bambooferry.example/bambooferry/internal/header"
 	"bambooferry.example/bambooferry/pkg/catalogue"
 )
 
@@ -20,7 +20,7 @@
 	// each window update waited for a timer. After a reader stops, the buffer is held only for detach_after.
 	engineSocketBytes = 64 << 10
 	// maxHeaderBytes bounds the header of a target's response and the informational ones before it.
-	maxHeaderBytes = 32 << 10
+	maxHeaderBytes = header.MaxBytes
 	// lateAnswerWait bounds the wait for the response of an engine that did not read the whole request.
 	lateAnswerWait = 100 * time.Millisecond
 )
@@ -32,8 +32,7 @@
 // since connections are not reused.
 type engineConn struct {
 	net.Conn
-	// limited bounds the bytes read until the header is complete.
-	limited io.LimitedReader
+	header header.Reader
 	// stopWatch stops watching the context.
 	stopWatch func() bool
 }
@@ -47,7 +46,7 @@
 	if b, ok := conn.(interface{ SetReadBuffer(bytes int) error }); ok {
 		_ = b.SetReadBuffer(engineSocketBytes)
 	}
-	c := &engineConn{Conn: conn, limited: io.LimitedReader{R: conn, N: maxHeaderBytes}}
+	c := &engineConn{Conn: conn, header: header.Reader{Src: conn}}
 	c.stopWatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
 	return c, nil
 }
@@ -60,7 +59,8 @@
 		// An engine that refuses early may answer and close without reading all of the body.
 		_ = c.SetReadDeadline(time.Now().Add(lateAnswerWait))
 	}
-	in := bufio.NewReaderSize(&c.limited, connBufferBytes)
+	c.header.Begin()
+	in := bufio.NewReaderSize(&c.header, connBufferBytes)
 	for {
 		res, err := http.ReadResponse(in, r)
 		switch {
@@ -71,7 +71,7 @@
 		case sendErr != nil && res.StatusCode == http.StatusOK:
 			return nil, sendErr
 		case res.StatusCode >= http.StatusOK:
-			c.limited.N = math.MaxInt64
+			c.header.End()
 			return res, nil
 		}
 	}
