--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -112,7 +113,7 @@
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
 		var b struct{ Error *ServiceError }
-		if err := json.NewDecoder(res.Body).Decode(&b); err != nil || b.Error == nil {
+		if err := json.NewDecoder(io.LimitReader(res.Body, maxCallResponseBytes)).Decode(&b); err != nil || b.Error == nil {
 			return errors.Newf("status %d", res.StatusCode)
 		}
 		b.Error.Status = res.StatusCode
