Bound what all requests hold of targets' responses

Cause: a response to a call is held until it is complete, up to 256 KiB, and an event up to 64 KiB, for each request. Nothing bounded the sum. A success without a seal, which is never passed on, was read all the same, and 256 KiB were allocated for a Content-Length before any byte of the body.

Change: the header is checked before the body. A target may hold no more than what is left free, so that faulty ones leave some to the others. Without memory a sealed body is passed on as it comes, and what must be held ends its attempt (memory_budget). Metrics: bambooferry_held_response_bytes, bambooferry_responses_not_held_total{part}. A long failure that is not passed on now ends its attempt, which stayed in the count of its target's requests.

Not shown: that the users' processes ended for this reason.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"bambooferry.example/bambooferry/internal/header"
 	"bambooferry.example/bambooferry/internal/tunnel"
 	"bambooferry.example/bambooferry/pkg/engine"
 	"bambooferry.example/bambooferry/pkg/route"
@@ -64,8 +65,10 @@
 	// unsentBytes is how much the target's machine had not acknowledged when the connection was closed, or -1 if that is
 	// not known.
 	unsentBytes int
-	info        ResponseInfo
-	res         *http.Response
+	// held is what the attempt holds of its response.
+	held heldBytes
+	info ResponseInfo
+	res  *http.Response
 	// contradictory is set when the response states with the status of a request that ran that it did not run.
 	contradictory bool
 	// firstEventAt is when the first event of the response was received.
@@ -90,7 +93,7 @@
 		Kind: timeline.AttemptBegun, Request: req.ID, Target: t.ID, Attempt: number, Why: reason, Entry: req.route.Name, Version: t.Version, Revision: req.table.Version,
 		Inputs: append([]timeline.Input{{Name: "load_percent", Value: int64(100 * load)}, {Name: "left_ms", Value: req.deadline.Sub(now).Milliseconds()}}, req.work.inputs()...),
 	})
-	return &attempt{relay: r, req: req, target: t, number: number, startedAt: now, load: load, pace: attemptPace{alone: req.work.alone}}
+	return &attempt{relay: r, req: req, target: t, number: number, startedAt: now, load: load, pace: attemptPace{alone: req.work.alone}, held: heldBytes{budget: &r.heldBytes, target: t.Address}}
 }
 
 // sendRequest connects, sends the request and reads the response header.
@@ -118,6 +121,7 @@
 	a.conn = c
 	a.cancelClose = context.AfterFunc(ctx, func() { _ = c.Close() })
 	c.nextCheck, c.onSilence = nextCheck, onSilence
+	c.header.Reserve, c.header.ShortBytes = a.reserveHeader, unreservedBytes
 	a.sent = true
 	c.recordCarried(a.req.ID)
 	a.req.pool.recordSent(a.req)
@@ -151,6 +155,14 @@
 	return err
 }
 
+// reserveHeader reserves the memory for a long header.
+func (a *attempt) reserveHeader() error {
+	if !a.held.reserve(headerCopies*header.MaxBytes, "header") {
+		return &ResponseError{Rule: ruleMemory}
+	}
+	return nil
+}
+
 // sharesConn reports whether a request may use a connection that other requests use: its id names its response, and the
 // response's end can be told from its header. The header of a response to HEAD states the length of a body that does not
 // follow, which is not known of a late one.
@@ -227,6 +239,7 @@
 	a.finished = true
 	took := now.Sub(a.startedAt)
 	if a.conn != nil {
+		a.conn.header.Reserve = nil
 		reusable := a.cancelClose() && complete && !a.res.Close && hasExplicitEnd(a.res) && a.req.sharesConn()
 		if reusable {
 			a.relay.targetConns.put(now, a.conn, a.info.KeepAlive)
@@ -235,6 +248,10 @@
 			_ = a.conn.Close()
 		}
 	}
+	if reason == ruleMemory {
+		// The target was reached, and may be sound.
+		result = engine.RequestResult{Failed: true}
+	}
 	if result.Unreachable {
 		a.relay.targetConns.closeIdle(a.target.Address)
 	}
@@ -302,6 +319,14 @@
 	})
 }
 
+// recordNotHeld logs a response of which only n bytes could be held.
+func (a *attempt) recordNotHeld(now time.Time, n int) {
+	a.relay.Log.Write(now, timeline.Event{
+		Kind: "response_not_held", Request: a.req.ID, Target: a.target.ID, Member: a.carrier(), Attempt: a.number, Why: ruleMemory, Decision: "pass_on",
+		Inputs: []timeline.Input{{Name: "held_bytes", Value: int64(n)}, {Name: "held_by_all_bytes", Value: a.relay.heldBytes.heldBytes()}, {Name: "status", Value: int64(a.status())}},
+	})
+}
+
 func boolValue(b bool) int64 {
 	if b {
 		return 1
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -57,6 +57,8 @@
 	refusals    int
 	unreachable int
 	lastFailure *attemptResult
+	// received are the results so far.
+	received []*attemptResult
 }
 
 // serveCall sends a call until it has a response, as often as its kind allows.
@@ -72,6 +74,7 @@
 		context.AfterFunc(sendCtx, stop)
 	}
 	c := &callHandler{relay: r, req: req, w: w, results: make(chan *attemptResult, maxRefusals+max(req.route.MaxAttempts, 1)+1)}
+	defer c.discardResults()
 	req.pool.recordRequest(time.Now())
 	if refusal := r.admitToPool(ctx, req, false); refusal != nil {
 		r.refuse(w, req, refusal)
@@ -117,6 +120,7 @@
 		select {
 		case result := <-c.results:
 			c.openAttempts--
+			c.received = append(c.received, result)
 			if c.handleResult(sendCtx, result) {
 				return
 			}
@@ -173,6 +177,7 @@
 	} else {
 		c.lastFailure = result
 		if c.mayRetry() && c.startAttempt(ctx, "failed") {
+			result.endUnread(time.Now())
 			return false
 		}
 	}
@@ -246,15 +251,14 @@
 		return result
 	}
 	a.relay.recordStart(now, a.req)
-	result.readBody()
+	if result.err = a.checkResponse(); result.err == nil {
+		result.readBody()
+	}
 	if result.unread != nil && !a.info.Sealed {
 		// Nothing proves that these bytes are the target's answer, or bounds them.
 		result.unread, result.err = nil, &ResponseError{Rule: "unsealed_body"}
 	}
 	now = time.Now()
-	if result.err == nil {
-		result.err = a.checkResponse()
-	}
 	if result.unread != nil {
 		return result
 	}
@@ -302,18 +306,78 @@
 	return "answered"
 }
 
-// readBody reads the response body into memory, up to maxBufferedBody.
+// readBody reads the response body into memory, up to maxBufferedBody or as far as the memory for it goes.
 func (r *attemptResult) readBody() {
-	res := r.attempt.res
-	if n := res.ContentLength; n > 0 && n < maxBufferedBody {
-		r.body = make([]byte, 0, n+1)
+	res, limit := r.attempt.res, maxBufferedBody
+	if n := res.ContentLength; n >= 0 && n < maxBufferedBody {
+		limit = int(n) + 1
 	}
-	r.body, r.err = appendReader(r.body, io.LimitReader(res.Body, maxBufferedBody))
-	if r.err == nil && len(r.body) == maxBufferedBody {
-		r.unread = res.Body
+	for {
+		if len(r.body) == cap(r.body) {
+			body, ok := r.body, len(r.body) < limit
+			if ok {
+				body, ok = r.attempt.held.grow(r.body, limit, 1, "body")
+			}
+			if !ok {
+				r.unread = res.Body
+				if len(r.body) < maxBufferedBody {
+					r.attempt.recordNotHeld(time.Now(), len(r.body))
+				}
+				return
+			}
+			r.body = body
+		}
+		n, err := res.Body.Read(r.body[len(r.body):cap(r.body)])
+		r.body = r.body[:len(r.body)+n]
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			r.err = err
+			return
+		}
 	}
 }
 
+// endUnread ends an attempt whose response is not passed on and was not read to its end.
+func (r *attemptResult) endUnread(now time.Time) {
+	if r.unread != nil {
+		r.unread, r.err = nil, &ResponseError{Rule: "not_passed_on"}
+		failed := r.attempt.res.StatusCode >= http.StatusInternalServerError
+		r.attempt.finish(now, engine.RequestResult{Failed: failed, Cancelled: !failed}, false, lossReason(r.err))
+	}
+}
+
+// release releases the memory of the response.
+func (r *attemptResult) release() {
+	r.body = nil
+	r.attempt.held.releaseAll()
+}
+
+// discardResults ends all attempts whose responses were not passed on, and releases the memory of all.
+func (c *callHandler) discardResults() {
+	discard := func(result *attemptResult) {
+		result.endUnread(time.Now())
+		result.release()
+	}
+	for _, result := range c.received {
+		discard(result)
+	}
+	if c.openAttempts == 0 {
+		return
+	}
+	go func() {
+		defer func() {
+			if recover() != nil {
+				c.relay.logPanic(time.Now(), c.req.ID)
+			}
+		}()
+		for range c.openAttempts {
+			discard(<-c.results)
+		}
+	}()
+}
+
 func (p *pool) recordResponseTime(took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -18,6 +18,8 @@
 	// minIdleEvents is the number of events without an id after which a stream is checked for silence. What
 	// arrived while the process was paused may begin with some.
 	minIdleEvents = 16
+	// eventCopies is the number of copies of an event that are held while it is written to the caller.
+	eventCopies = 3
 )
 
 // EventError reports that a stream's bytes are not a valid event.
@@ -29,6 +31,8 @@
 type eventReader struct {
 	reader *bufio.Reader
 	raw    []byte
+	// held is what the attempt holds.
+	held *heldBytes
 	// idleBytes and idleEvents count what came since the last event with an id.
 	idleBytes  int
 	idleEvents int
@@ -41,6 +45,9 @@
 // io.ErrUnexpectedEOF when the stream ends within one.
 func (e *eventReader) nextEvent() (raw []byte, id uint64, numbered bool, err error) {
 	e.raw = e.raw[:0]
+	if cap(e.raw) > unreservedBytes {
+		e.releaseRaw()
+	}
 	for {
 		lineStart := len(e.raw)
 		if err = e.appendLine(); err != nil {
@@ -94,14 +101,29 @@
 	return true
 }
 
+// releaseRaw releases the memory of a long event.
+func (e *eventReader) releaseRaw() {
+	if e.held != nil {
+		e.held.release(eventCopies * reservedFor(cap(e.raw)))
+	}
+	e.raw = nil
+}
+
 // appendLine appends one line, including its line end, to raw.
 func (e *eventReader) appendLine() error {
 	for {
 		part, err := e.reader.ReadSlice('\n')
-		e.raw = append(e.raw, part...)
-		if len(e.raw) > maxEventSize {
+		if len(e.raw)+len(part) > maxEventSize {
 			return &EventError{Rule: "size"}
 		}
+		for len(e.raw)+len(part) > cap(e.raw) {
+			raw, ok := e.held.grow(e.raw, maxEventSize, eventCopies, "event")
+			if !ok {
+				return &ResponseError{Rule: ruleMemory}
+			}
+			e.raw = raw
+		}
+		e.raw = append(e.raw, part...)
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return err
 		}
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -63,6 +63,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("bambooferry_stale_responses_total{not_run=%q}", strconv.FormatBool(notRun))).Inc()
 }
 
+// recordNotHeld counts responses of which a part was not held, since its target held its share of the memory: "header", "body",
+// "event" or "comments".
+func (m *instruments) recordNotHeld(part string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("bambooferry_responses_not_held_total{part=%q}", part)).Inc()
+}
+
 // recordCrashCheck counts the checks of targets that lost a request: "connection_refused",
 // "connection_closed", "other_incarnation", "connection_accepted" or "no_connection".
 func (m *instruments) recordCrashCheck(result string) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -64,10 +65,13 @@
 	// time to take the instance out.
 	GracePeriod         time.Duration
 	DeregistrationDelay time.Duration
+	// MaxHeldBytes bounds the bytes of responses that all requests hold; 0 means 16 MiB.
+	MaxHeldBytes int64
 	// ObserveStart, if set, is called once for each request of a workspace, when it began to run at a target.
 	ObserveStart func(now time.Time, workspace string)
 
 	targetConns   connPool
+	heldBytes     byteBudget
 	callers       callerconn.HTTPServer
 	stoppingSince atomic.Pointer[time.Time]
 	// stopping is closed when a stop begins.
@@ -88,6 +92,8 @@
 func (r *Relay) init() {
 	r.initOnce.Do(func() {
 		r.instruments.register(r.Metrics)
+		r.heldBytes.limit, r.heldBytes.observeDenied = cmp.Or(r.MaxHeldBytes, defaultMaxHeldBytes), r.instruments.recordNotHeld
+		r.instruments.set.GetOrCreateGauge("bambooferry_held_response_bytes", func() float64 { return float64(r.heldBytes.heldBytes()) })
 		r.stopping = make(chan struct{})
 		if r.Links == nil {
 			r.Links = &Links{}
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -49,13 +49,16 @@
 	}
 	writeHeader(w, result.attempt.res)
 	_, err := w.Write(result.body)
-	if result.unread != nil {
+	result.release()
+	if unread := result.unread; unread != nil {
+		result.unread = nil
 		complete := false
 		if err == nil {
-			_, err = io.Copy(w, result.unread)
+			// The buffers that net/http would use are eight times as large.
+			_, err = io.CopyBuffer(struct{ io.Writer }{w}, struct{ io.Reader }{unread}, make([]byte, unreservedBytes))
 			complete = err == nil
 		}
-		result.attempt.finish(time.Now(), engine.RequestResult{Failed: !complete}, complete, resultReason(result))
+		result.attempt.finish(time.Now(), engine.RequestResult{Failed: !complete || result.attempt.res.StatusCode >= http.StatusInternalServerError}, complete, resultReason(result))
 	}
 	if err != nil {
 		r.logEnd(req, string(generation.Ran), "answer_broken_off", 0)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -93,6 +93,7 @@
 		},
 	}
 	st.gen.ReserveReplacement = st.reserveReplacement
+	defer st.releaseFailure()
 	defer func() {
 		if v := recover(); v != nil {
 			st.endPanicked(v)
@@ -264,6 +265,9 @@
 	if st.currentAttempt != current {
 		return
 	}
+	if err == nil && !numbered {
+		err = st.reserveHeld(current, raw)
+	}
 	if err == nil {
 		st.handleTargetEvent(now, current, raw, id, numbered)
 		return
@@ -331,11 +335,29 @@
 	st.performActions(st.gen.Step(now, generation.Event{Kind: generation.TokenReceived, Attempt: current.number, Position: id - st.idOffset, Text: string(raw)}))
 }
 
+// holdsBack reports whether an event without an id is held until one with an id follows.
+func (st *streamHandler) holdsBack(current *attempt, raw []byte) bool {
+	return st.headerSent && current.firstEventAt.IsZero() || !st.headerSent && isComment(raw)
+}
+
+// reserveHeld reserves the memory for an event that is to be held.
+func (st *streamHandler) reserveHeld(current *attempt, raw []byte) error {
+	if n := len(st.held) + len(raw); n > unreservedBytes && st.holdsBack(current, raw) {
+		if !current.held.reserve(heldCopies*(n-max(len(st.held), unreservedBytes)), "comments") {
+			return &ResponseError{Rule: ruleMemory}
+		}
+	}
+	return nil
+}
+
+// heldCopies is the number of copies of held comments: a buffer that grows has up to twice the size of its content.
+const heldCopies = 2
+
 // passUnnumbered passes on an event without an id. A target that sends nothing else for long is silent.
 //
 // Once the response has begun, it is buffered until the attempt sends an event with an id.
 func (st *streamHandler) passUnnumbered(now time.Time, current *attempt, raw []byte) {
-	if st.headerSent && current.firstEventAt.IsZero() || !st.headerSent && isComment(raw) {
+	if st.holdsBack(current, raw) {
 		st.held = append(st.held, raw...)
 	} else {
 		st.write(raw)
@@ -381,10 +403,14 @@
 
 func (st *streamHandler) write(raw []byte) {
 	st.sendHeader()
+	reserved := heldCopies * max(len(st.held)-unreservedBytes, 0)
 	if len(st.held) > 0 {
 		raw, st.held = append(st.held, raw...), nil
 	}
 	_, err := st.w.Write(raw)
+	if st.currentAttempt != nil {
+		st.currentAttempt.held.release(reserved)
+	}
 	if err == nil {
 		err = st.controller.Flush()
 	}
@@ -393,6 +419,13 @@
 	}
 }
 
+// releaseFailure releases the memory of the failure that was to be passed on, if any.
+func (st *streamHandler) releaseFailure() {
+	if st.failureResponse != nil {
+		st.failureResponse.release()
+	}
+}
+
 // endAttempt ends the open attempt.
 func (st *streamHandler) endAttempt(result engine.RequestResult, complete bool, reason string) {
 	current := st.currentAttempt
@@ -401,4 +434,13 @@
 	}
 	st.currentAttempt = nil
 	current.finish(time.Now(), result, complete, reason)
+	if st.failureResponse == nil || st.failureResponse.attempt != current {
+		if cap(st.events.raw) > unreservedBytes {
+			st.events.raw = nil
+		}
+		if !complete {
+			st.held = nil
+		}
+		current.held.releaseAll()
+	}
 }
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -140,7 +140,7 @@
 		current.silenceLogged = false
 		ev.Kind, ev.Timeouts = generation.Accepted, st.silenceTimeouts()
 		st.backupEngine = info.BackupEngine
-		st.events = eventReader{reader: bufio.NewReaderSize(current.res.Body, 512), raw: st.events.raw}
+		st.events = eventReader{reader: bufio.NewReaderSize(current.res.Body, 512), raw: st.events.raw, held: &current.held}
 		st.held = nil
 		if !st.headerSent {
 			st.response = current.res
@@ -163,6 +163,7 @@
 	if err == nil {
 		result.readBody()
 		if result.err == nil && result.unread == nil {
+			st.releaseFailure()
 			st.failureResponse = result
 			// Another target would reject the request as well.
 			st.aborted = current.res.StatusCode < http.StatusInternalServerError
