--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -62,6 +62,8 @@
 	sent bool
 	// staleCount is the number of responses to earlier requests that were discarded.
 	staleCount int
+	// closeUnconfirmed is set when the instance that carried the attempt had not closed its connection in time.
+	closeUnconfirmed bool
 	// held is what the attempt holds of its response.
 	held heldBytes
 	info ResponseInfo
@@ -306,6 +308,9 @@
 	if a.res != nil && a.info.RequestID == "" {
 		inputs = append(inputs, timeline.Input{Name: "without_id", Value: 1})
 	}
+	if a.closeUnconfirmed {
+		inputs = append(inputs, timeline.Input{Name: "close_unconfirmed", Value: 1})
+	}
 	return inputs
 }
 
