End the attempts of calls whose long answers are not passed on

What callers saw: refusals and longer waits, after some time. An attempt whose answer was longer than 256 KiB and was not passed on was never ended: it counted at its target until the target was replaced, so that limits, admission control and the choice of a target saw load that was not there. It was so with an answer that failed its checks (encoded, or a status such as 503 without a statement), with a failure after which another target answered, and with the answer to a call that must run once whose caller had left.

Cause: runCall leaves the end of an attempt with an unread body to deliverResponse, which was not called for these.

An answer that fails its checks ends its attempt at once. The handler of a call ends those of the failures that it replaces, and of the results that come after its own end.

--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -42,6 +42,15 @@
 	return r.err == nil && !r.notRun && r.attempt.res.StatusCode < http.StatusInternalServerError
 }
 
+// discard ends the attempt of a response that is not passed on, if its body was not read to the end.
+func (r *attemptResult) discard(now time.Time) {
+	if r.unread == nil || r.attempt.finished {
+		return
+	}
+	failed := r.attempt.res.StatusCode >= http.StatusInternalServerError
+	r.attempt.finish(now, engine.RequestResult{Failed: failed, Cancelled: !failed}, false, "not_passed_on")
+}
+
 // callHandler holds the state of one call across its attempts.
 type callHandler struct {
 	relay        *Relay
@@ -72,6 +81,7 @@
 		context.AfterFunc(sendCtx, stop)
 	}
 	c := &callHandler{relay: r, req: req, w: w, results: make(chan *attemptResult, maxRefusals+max(req.route.MaxAttempts, 1)+1)}
+	defer c.discardResults()
 	req.pool.recordRequest(time.Now())
 	if refusal := r.admitToPool(ctx, req, false); refusal != nil {
 		r.refuse(w, req, refusal)
@@ -171,6 +181,7 @@
 			return false
 		}
 	} else {
+		c.discardFailure()
 		c.lastFailure = result
 		if c.mayRetry() && c.startAttempt(ctx, "failed") {
 			return false
@@ -219,6 +230,27 @@
 	panic(http.ErrAbortHandler)
 }
 
+// discardResults ends the attempts whose responses are not passed on, also those that end later.
+func (c *callHandler) discardResults() {
+	c.discardFailure()
+	open := c.openAttempts
+	if open == 0 {
+		return
+	}
+	go func() {
+		for range open {
+			result := <-c.results
+			result.discard(time.Now())
+		}
+	}()
+}
+
+func (c *callHandler) discardFailure() {
+	if c.lastFailure != nil {
+		c.lastFailure.discard(time.Now())
+	}
+}
+
 // runCall sends a call to one target and reads its response.
 func (a *attempt) runCall(ctx context.Context) *attemptResult {
 	result := &attemptResult{attempt: a}
@@ -255,7 +287,7 @@
 	if result.err == nil {
 		result.err = a.checkResponse()
 	}
-	if result.unread != nil {
+	if result.unread != nil && result.err == nil {
 		return result
 	}
 	if result.err == nil {
