--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -10,6 +10,9 @@
 	"bambooferry.example/bambooferry/pkg/generation"
 )
 
+// passOnBuffer is the size of the buffer through which the rest of a long body is passed on.
+const passOnBuffer = 8 << 10
+
 // hopHeaders apply to one connection only.
 var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
 
@@ -54,8 +57,8 @@
 		result.unread = nil
 		complete := false
 		if err == nil {
-			// The buffers that net/http would use are eight times as large.
-			_, err = io.CopyBuffer(struct{ io.Writer }{w}, struct{ io.Reader }{unread}, make([]byte, unreservedBytes))
+			// The writer's own ReadFrom would use a buffer of 32 KiB for as long as the caller reads.
+			_, err = io.CopyBuffer(struct{ io.Writer }{w}, struct{ io.Reader }{unread}, make([]byte, passOnBuffer))
 			complete = err == nil
 		}
 		result.attempt.finish(time.Now(), engine.RequestResult{Failed: !complete || result.attempt.res.StatusCode >= http.StatusInternalServerError}, complete, resultReason(result))
