Reserve no memory for an event of an attempt that has ended

Callers saw: nothing yet; found by reading the bound on held bytes.

Cause: an attempt that is silent, or whose target others have lost, ends within a read. The event reader then stored the bytes that it had got with the error. If they did not fit into 4 KiB, it reserved 24 KiB more, after the attempt had released its memory. Nothing releases them any more, so a target that stops in the middle of events of 4,097 to 4,608 bytes uses up its share of the budget for as long as the process runs.

Change: the bytes before an error other than the end of the stream are dropped before memory is reserved for them. They were never used.

Result: TestEventOfEndedAttemptReservesNothing failed before with 24,576 bytes held for 4,196 bytes of an event; the other sizes passed. It passes now, as do the tests of streams of internal/relay with the race detector.

Ruled out by reading: headers (a failed read is not followed by another), bodies of failures, and calls, whose attempts end in their own goroutine.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -113,6 +113,10 @@
 func (e *eventReader) appendLine() error {
 	for {
 		part, err := e.reader.ReadSlice('\n')
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) && !errors.Is(err, io.EOF) {
+			// The attempt may have ended and released its memory.
+			return err
+		}
 		if len(e.raw)+len(part) > maxEventSize {
 			return &EventError{Rule: "size"}
 		}
--- a/internal/relay/held_bytes_test.go
+++ b/internal/relay/held_bytes_test.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -90,3 +92,29 @@
 		require.Empty(t, b.heldOf)
 	}
 }
+
+// endingReader returns data, and then ends the attempt that reads it.
+type endingReader struct {
+	data io.Reader
+	held *heldBytes
+}
+
+func (r *endingReader) Read(b []byte) (int, error) {
+	if n, err := r.data.Read(b); n > 0 {
+		return n, err
+	}
+	r.held.releaseAll()
+	return 0, &SilenceTimeoutError{}
+}
+
+// Guards against memory that stays reserved for an attempt that was ended while it waited for the rest of an event.
+func TestEventOfEndedAttemptReservesNothing(t *testing.T) {
+	for _, size := range []int{1, unreservedBytes, unreservedBytes + 100, 2*unreservedBytes + 100, maxEventSize} {
+		held := &heldBytes{budget: &byteBudget{limit: 1 << 20, observeDenied: func(string) {}}}
+		src := &endingReader{strings.NewReader(strings.Repeat("x", size)), held}
+		events := eventReader{reader: bufio.NewReaderSize(src, 512), held: held}
+		_, _, _, err := events.nextEvent()
+		require.ErrorAs(t, err, new(*SilenceTimeoutError), size)
+		require.Zero(t, held.budget.heldBytes(), size)
+	}
+}
