Bound the lines of a header that begins in the read buffer

Callers saw: nothing yet; found by reading the bound on header lines.

Cause: lines were counted as they were read from the connection, up to the first end of a header. What came with an informational response in the same read, or with the end of a discarded response, was not counted: up to 4 KiB of short lines were decoded for each request, and the request then waited for more.

Change: the reader is given what is buffered when a header begins, and counts the lines of that.

--- a/internal/header/reader.go
+++ b/internal/header/reader.go
@@ -33,11 +33,22 @@
 	// bytes and lines count what was read of it, and tail is the end of that.
 	bytes, lines int
 	tail         []byte
+	// linesRead counts the lines that were read with it, which may be those of the body.
+	linesRead int
 }
 
-// Begin begins the header of a response.
-func (r *Reader) Begin() {
-	r.reading, r.reserved, r.bytes, r.lines, r.tail = true, false, 0, 0, r.tail[:0]
+var newline = []byte{'\n'}
+
+// Begin begins the header of a response, the beginning of which may be buffered.
+func (r *Reader) Begin(buffered []byte) error {
+	r.reading, r.reserved, r.bytes, r.linesRead = true, false, 0, bytes.Count(buffered, newline)
+	return r.Next(buffered)
+}
+
+// Next begins the header that follows an informational one, the beginning of which may be buffered.
+func (r *Reader) Next(buffered []byte) error {
+	r.lines, r.tail = r.linesRead-bytes.Count(buffered, newline), r.tail[:0]
+	return r.countLines(buffered)
 }
 
 // End ends the header of a response; the body is not bounded.
@@ -59,15 +70,16 @@
 	}
 	n, err := r.Src.Read(b[:min(len(b), MaxBytes-r.bytes)])
 	r.bytes += n
-	if r.countLines(b[:n]); r.lines > MaxLines {
-		return 0, &LinesError{Lines: r.lines}
+	r.linesRead += bytes.Count(b[:n], newline)
+	if err := r.countLines(b[:n]); err != nil {
+		return 0, err
 	}
 	return n, err
 }
 
 // countLines counts the lines of the header; the body may follow it.
-func (r *Reader) countLines(b []byte) {
-	n := bytes.Count(b, []byte{'\n'})
+func (r *Reader) countLines(b []byte) error {
+	n := bytes.Count(b, newline)
 	if r.lines+n > MaxLines {
 		header := slices.Concat(r.tail, b)
 		for _, end := range []string{"\n\r\n", "\n\n"} {
@@ -75,9 +87,13 @@
 				header = header[:i+1]
 			}
 		}
-		n = bytes.Count(header, []byte{'\n'})
+		n = bytes.Count(header, newline)
 	}
 	r.lines += n
 	r.tail = append(r.tail, b[max(len(b)-2, 0):]...)
 	r.tail = append(r.tail[:0], r.tail[max(len(r.tail)-2, 0):]...)
+	if r.lines > MaxLines {
+		return &LinesError{Lines: r.lines}
+	}
+	return nil
 }
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -189,10 +189,15 @@
 
 // readResponse reads the header of one final response and the informational ones before it.
 func (c *conn) readResponse(r *http.Request) (*http.Response, error) {
-	c.header.Begin()
 	defer c.header.End()
+	begin := c.header.Begin
 	for range maxInformational {
-		res, err := http.ReadResponse(c.reader, r)
+		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		err := begin(buffered)
+		res := (*http.Response)(nil)
+		if err == nil {
+			res, err = http.ReadResponse(c.reader, r)
+		}
 		if long := (*header.LinesError)(nil); errors.As(err, &long) {
 			return nil, &ResponseError{Rule: "header_lines"}
 		}
@@ -202,6 +207,7 @@
 		if res.StatusCode >= http.StatusOK {
 			return res, nil
 		}
+		begin = c.header.Next
 	}
 	return nil, &ResponseError{Rule: "informational"}
 }
--- a/internal/relay/held_bytes_memory_test.go
+++ b/internal/relay/held_bytes_memory_test.go
@@ -43,6 +43,7 @@
 	chunk := fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s", len(body), body)
 	for name, c := range map[string]struct{ path, text string }{
 		"head of short lines": {"/book/1", "HTTP/1.1 200 S\r\nId: ID\r\nSeal: s\r\n" + shortLines.String()},
+		"lines after another": {"/book/1", "HTTP/1.1 103 S\r\n\r\nHTTP/1.1 200 S\r\nId: ID\r\n" + shortLines.String()[:3900]},
 		"unsealed success":    {"/book/1", "HTTP/1.1 200 S\r\nId: ID\r\n" + chunk},
 		"unsealed failure":    {"/book/1", "HTTP/1.1 500 S\r\nId: ID\r\n" + chunk},
 		"sealed success":      {"/book/1", "HTTP/1.1 200 S\r\nId: ID\r\nSeal: s\r\n" + chunk},
--- a/internal/server/call_send.go
+++ b/internal/server/call_send.go
@@ -159,9 +159,12 @@
 		return targetResponse{}, err
 	}
 	limited := header.Reader{Src: conn}
-	limited.Begin()
 	in := bufio.NewReaderSize(&limited, 4<<10)
-	for {
+	for begin := limited.Begin; ; begin = limited.Next {
+		buffered, _ := in.Peek(in.Buffered())
+		if err := begin(buffered); err != nil {
+			return targetResponse{}, err
+		}
 		res, err := http.ReadResponse(in, req)
 		if err != nil {
 			return targetResponse{}, err
--- a/internal/server/engine_conn.go
+++ b/internal/server/engine_conn.go
@@ -59,9 +59,12 @@
 		// An engine that refuses early may answer and close without reading all of the body.
 		_ = c.SetReadDeadline(time.Now().Add(lateAnswerWait))
 	}
-	c.header.Begin()
 	in := bufio.NewReaderSize(&c.header, connBufferBytes)
-	for {
+	for begin := c.header.Begin; ; begin = c.header.Next {
+		buffered, _ := in.Peek(in.Buffered())
+		if err := begin(buffered); err != nil {
+			return nil, err
+		}
 		res, err := http.ReadResponse(in, r)
 		switch {
 		case err != nil && sendErr != nil:
