Do not believe a success of an engine that states that a generation was not run

What callers could see: a generation that an engine had begun was begun at another one as if the first had refused it, and was answered 503 as not run if there was no other, if the response had a status from 201 to 399 and the outcome not_run.

Such a response counts as a lost connection now, whose outcome is unknown.

The new row of TestNotRunOnlyFromEngineStatement failed before and passes, as do the tests of internal/server on engines and refusals.

--- a/internal/server/engine_line_test.go
+++ b/internal/server/engine_line_test.go
@@ -41,6 +41,7 @@
 	}{
 		{"refused by the engine", 503, `{"outcome":"not_run"}`, generation.Fresh, generation.Refused},
 		{"failed without an outcome", 500, `failed`, generation.Fresh, generation.ConnectionLost},
+		{"success that states a refusal", 202, `{"outcome":"not_run"}`, generation.Fresh, generation.ConnectionLost},
 		{"unknown outcome", 503, `{"outcome":"unknown"}`, generation.Continue, generation.ConnectionLost},
 		{"reattach refused says nothing of the record", 503, `{"outcome":"not_run"}`, generation.Reattach, generation.ConnectionLost},
 		{"record missing", 404, `{}`, generation.Reattach, generation.RecordMissing},
--- a/internal/server/open.go
+++ b/internal/server/open.go
@@ -45,7 +45,7 @@
 		return generation.ConnectionLost
 	case mode == generation.Reattach && status.Status == http.StatusNotFound:
 		return generation.RecordMissing
-	case mode != generation.Reattach && status.Outcome == generation.NotRun:
+	case mode != generation.Reattach && status.Outcome == generation.NotRun && status.Status >= http.StatusBadRequest:
 		return generation.Refused
 	default:
 		return generation.ConnectionLost
