Keep the kernel repeating the end of a carried connection

Callers saw: nothing yet; found by reading.

Cause: a FIN counts as unacknowledged in SIOCOUTQ. Where the packets to a carrier are being lost, the connection whose bytes had been ended was reset, and the kernel repeats a lost FIN but not a lost RST: the carrier would have noticed only by its own probes (2 to 3 s).

Change: once the bytes are ended, the connection is closed in the ordinary way.

Result: TestStreamGoesOnOnceItsCarrierHasClosed and the tests beside it pass 3 times with the race detector. No test loses single packets, so the fault itself was not reproduced.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -198,8 +198,14 @@
 	if !ok {
 		return false
 	}
-	// Bytes that wait for the carrier hold up the end; a reset does not wait for them.
-	return socket.Unacked(carried) != 0 || carried.CloseTarget(now.Add(carrierCloseTimeout)) != nil
+	if socket.Unacked(carried) != 0 {
+		// They hold up the end of the bytes; a reset does not wait for them.
+		return true
+	}
+	unconfirmed = carried.CloseTarget(now.Add(carrierCloseTimeout)) != nil
+	// Only the end can be unacknowledged now; after a reset the kernel would not repeat it.
+	c.giveUpOnce.Do(func() { _ = c.Close() })
+	return unconfirmed
 }
 
 // earlyResponseTimeout bounds the wait for the response of a target that did not accept the
