--- a/internal/server/engine_conn.go
+++ b/internal/server/engine_conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bambooferry.example/bambooferry/internal/header"
+	"bambooferry.example/bambooferry/internal/socket"
 	"bambooferry.example/bambooferry/pkg/catalogue"
 )
 
@@ -47,7 +48,7 @@
 		_ = b.SetReadBuffer(engineSocketBytes)
 	}
 	c := &engineConn{Conn: conn, header: header.Reader{Src: conn}}
-	c.stopWatch = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	c.stopWatch = context.AfterFunc(ctx, func() { socket.GiveUp(conn) })
 	return c, nil
 }
 
