Do not wait for the body of a refusal until the request's deadline

Callers saw: a request that an engine had refused was answered 503 or 504 at its deadline, though another engine could have taken it, if the body of the refusal came byte by byte or stopped.

Cause: the body of a refusal was read to its end, or to 256 KiB, before the request went on elsewhere. It serves only to keep the connection.

Change: it is read for 100 ms at most; then the connection is closed.

Ruled out: this made no request run twice; the next attempt began only after the body had been read. A failure (500) whose body comes byte by byte still holds its request, since it may have to be passed on.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -399,6 +400,29 @@
 	return a.info.NotRun
 }
 
+// refusalBodyTime bounds the time for the body of a refusal, which serves only to keep the connection.
+const refusalBodyTime = 100 * time.Millisecond
+
+// discardRefusal reads the body of a refusal and reports whether it came to its end in time.
+func (a *attempt) discardRefusal(now time.Time) (complete bool) {
+	a.conn.nextCheck, a.conn.onSilence = now.Add(refusalBodyTime), nil
+	return discardBody(boundedReader{src: a.res.Body, until: now.Add(refusalBodyTime)})
+}
+
+// boundedReader reads until a time, also from a source that goes on to bring some bytes.
+type boundedReader struct {
+	src   io.Reader
+	until time.Time
+}
+
+func (r boundedReader) Read(b []byte) (int, error) {
+	n, err := r.src.Read(b)
+	if err == nil && time.Now().After(r.until) {
+		err = os.ErrDeadlineExceeded
+	}
+	return n, err
+}
+
 // isSilence reports whether an error means that nothing was received, not even a reset.
 func isSilence(err error) bool {
 	if e := (*SilenceTimeoutError)(nil); errors.As(err, &e) {
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -246,7 +246,7 @@
 	}
 	if a.handleRefusal() {
 		result.notRun = true
-		complete := discardBody(a.res.Body)
+		complete := a.discardRefusal(time.Now())
 		a.finish(time.Now(), engine.RequestResult{Failed: a.res.StatusCode != http.StatusMisdirectedRequest, Unreachable: a.res.StatusCode == http.StatusMisdirectedRequest}, complete, "not_run")
 		return result
 	}
--- a/internal/relay/stream_attempt.go
+++ b/internal/relay/stream_attempt.go
@@ -130,7 +130,7 @@
 		ev.Kind = generation.Refused
 		st.refusals++
 		misdirected := current.res.StatusCode == http.StatusMisdirectedRequest
-		complete := discardBody(current.res.Body)
+		complete := current.discardRefusal(now)
 		st.endAttempt(engine.RequestResult{Unreachable: misdirected}, complete, "not_run")
 	default:
 		st.acceptedCount++
