Send nothing for a caller that has left while a connection was made

What callers saw: nothing. A call that must run once began at a target although its caller had left, or had been answered 502 at the end of grace or 504, while the connection to the target was being made; on a starved instance that is long after. Nothing that was refused as not run could begin so.

Cause: such a call is sent with a context of its own, which outlasts its caller so that a call that runs is not cut. It also outlasted the time before the send.

The request's context, which ends when its caller leaves or its handler returns, is now checked before the first byte, and so is the attempt's own, which a kept connection did not look at. The connection is kept, and the target is not blamed.

TestNothingIsSentForCallerThatLeft failed before with the call that must run once (its stub got the request) and passed with the three other kinds; it passes now in 3 of 3 runs with the race detector. Beside a load average of about 200 TestCallsBeyondExpectedRoomAreRefusedAtOnce failed once in a run of part of the package; alone it passed 6 of 6 times with this change, and 4 of 6 times on.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -112,6 +113,11 @@
 		return &MarkedError{}
 	}
 	a.req.pool.recordReached(a.target)
+	if err := cmp.Or(ctx.Err(), a.req.http.Context().Err()); err != nil {
+		// Nobody waits for the response any longer.
+		a.relay.targetConns.put(time.Now(), c, 0)
+		return err
+	}
 	a.conn = c
 	a.cancelClose = context.AfterFunc(ctx, func() { _ = c.Close() })
 	c.nextCheck, c.onSilence = nextCheck, onSilence
--- a/internal/relay/call.go
+++ b/internal/relay/call.go
@@ -262,7 +262,7 @@
 		if a.sent {
 			a.relay.recordStart(now, a.req)
 		}
-		cancelled := errors.Is(ctx.Err(), context.Canceled) || isMarkedError(result.err)
+		cancelled := errors.Is(ctx.Err(), context.Canceled) || !a.sent && errors.Is(result.err, context.Canceled) || isMarkedError(result.err)
 		a.wentSilent = isSilence(result.err)
 		reason := lossReason(result.err)
 		if !a.sent && !cancelled {
