Do not call a generation not run whose silent attempt was ended

What callers could see: a generation of the product's own interface was answered 503 with the outcome not_run although an engine may have begun it. The caller may send it again, and it runs twice.

Cause: a stream has at most four open attempts. The oldest silent one is ended when a further one begins, and was forgotten: if all later ones were refused, nothing said that a target had been sent the request. With the default time-outs (250 ms until a target accepts) that takes four engines that do not answer, and a second.

The outcome is unknown after such an attempt. Attempts that are lost, replaced or still open counted before.

TestEndedSilentAttemptMayHaveRun failed before with not_run; the tests of pkg/generation pass.

--- a/pkg/generation/attempt.go
+++ b/pkg/generation/attempt.go
@@ -78,6 +78,7 @@
 		if a.silent {
 			s.removeAttempt(a)
 			s.endAttempt(a, "too_many_attempts", s.attempts)
+			s.maybeAccepted = true
 			return
 		}
 	}
--- a/pkg/generation/loss_test.go
+++ b/pkg/generation/loss_test.go
@@ -89,6 +89,30 @@
 	}
 }
 
+// Guards against the outcome not_run after a silent attempt, which its target may have begun, was ended for want of room.
+func TestEndedSilentAttemptMayHaveRun(t *testing.T) {
+	s := testStream()
+	ended := 0
+	for now := time.Duration(0); ended == 0 && now < 3*time.Second; now += 50 * time.Millisecond {
+		ev := Event{Kind: Ticked}
+		if now == 0 {
+			ev.Kind = Started
+		}
+		for _, a := range step(s, now, ev) {
+			if a.Kind == Cancel {
+				ended = a.Attempt
+			}
+		}
+	}
+	require.Equal(t, 1, ended)
+	respond := func(a Action) Event { return Event{Kind: Refused, Attempt: a.Attempt, Target: "engine-b"} }
+	for n := 2; n <= s.LastAttempt; n++ {
+		step(s, time.Second, respond(Action{Attempt: n}))
+	}
+	_, failed := runUntilDone(s, time.Second, 10*time.Second, respond)
+	require.Equal(t, Unknown, failed.Outcome)
+}
+
 // Guards against endless reattaching to a target that accepts and closes connections.
 func TestLostReattachContinuesElsewhere(t *testing.T) {
 	s := streamWithOneToken(t)
