Do not refuse as not run a call whose ticket is of another incarnation

What callers could see: a call with a ticket was answered 503 catalogue_differs with the outcome not_run although the instance that gave the ticket may have run it and has been started again since. A caller that believes it sends the call under another key, and it runs twice.

Cause: the catalogue was looked at before the ticket's instance and incarnation (before and after it). It takes a caller that repeats its call at an instance that does not know of the restart yet, and a holder whose catalogue has no such entry, as one that has just started may have.

The outcome is unknown then (ticket_holder_gone), as with an entry. Found by reading; that a caller has seen it is not shown. TestRunningTicketCallAfterCatalogueChange failed before with not_run; the tests of internal/server on calls and tickets pass.

--- a/internal/server/ticket.go
+++ b/internal/server/ticket.go
@@ -141,8 +141,11 @@
 // changed since the run began.
 func (s *Server) awaitStartedTicketRun(ctx context.Context, now time.Time, in *CallForward) (*booking.Result, error) {
 	k, err := s.ticketSigner().Verify(now, in.Ticket, in.Workspace, in.Entry)
-	if k == nil {
+	switch {
+	case k == nil:
 		return nil, newRefusal(http.StatusBadRequest, err.Error(), "the ticket was not given for this call")
+	case k.Instance != s.ID || k.Incarnation != s.Incarnation:
+		return nil, unknownOutcomeRefusal("ticket_holder_gone", false)
 	}
 	if r := s.calls.runs.lookup(k.Nonce); r != nil {
 		return s.awaitTicketRun(ctx, r, in.Digest)
--- a/internal/server/ticket_catalogue_test.go
+++ b/internal/server/ticket_catalogue_test.go
@@ -34,6 +34,10 @@
 	require.True(t, ask(used, digest).Running)
 	require.Equal(t, "key_reused", ask(used, repeatedHash("x")).Refusal.Code)
 	require.Equal(t, "catalogue_differs", ask(unused, digest).Refusal.Code)
+	// Another incarnation may have run the call with its ticket.
+	s.Incarnation++
+	require.Equal(t, generation.Unknown, ask(unused, digest).Refusal.Outcome)
+	s.Incarnation--
 	s.calls.runs.finish(r, &booking.Result{Status: 201}, nil, false)
 	require.Equal(t, 201, ask(used, digest).Result.Status)
 }
