--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -76,7 +76,7 @@
 	return now.Sub(t.openedAt) - time.Duration(t.usedAfter.Load())
 }
 
-// closeNow resets both connections. The caller's comes first, so that it is not told that the target is lost.
+// closeNow resets both connections, the caller's first: otherwise it would receive the frame of a lost target.
 func (t *carried) closeNow() {
 	reset(t.caller)
 	reset(t.target)
