Log when a copy of the store is behind, and why

Change: copy_behind and copy_caught_up, store_call_failed and store_calls_answered (the first and the end of consecutive failures), changes_sent at the reader; an update that came from another instance or a full read logs the number of its targets in one line, since the lines of the reader name them. No decision changes. Result: tests of internal/feed, internal/gossip and platform pass. Ruled out: that the writer drops lines unnoticed, by reading: a dropped event takes no sequence number and is counted in lines_dropped, so gaps in the sequence are lines that were lost after they had been written.

--- a/internal/feed/broadcast.go
+++ b/internal/feed/broadcast.go
@@ -84,6 +84,7 @@
 	case r.messages <- receivedMessage{ChangeMessage: message, receivedAt: now}:
 	default:
 		// The queue is full; the next message shows that changes were missed.
+		r.droppedMessages.Add(1)
 	}
 }
 
@@ -154,13 +155,19 @@
 // applyMessage applies one message and reports whether the copy lacks changes that the message
 // announces.
 func (r *Replicator) applyMessage(message receivedMessage) (behind bool) {
+	reason := r.applyChangeMessage(&message)
+	r.recordLag(message.receivedAt, &message, reason)
+	return reason != lagNone
+}
+
+func (r *Replicator) applyChangeMessage(message *receivedMessage) lagReason {
 	version := r.Version()
 	if message.Era < version.Era {
 		// The reader has not noticed the restore of the store yet.
-		return false
+		return lagNone
 	}
 	respondedAt := message.receivedAt.Add(-time.Duration(message.ResponseAgeMillis) * time.Millisecond)
-	r.recordReader(&message, respondedAt)
+	r.recordReader(message, respondedAt)
 	r.ObserveEra(message.Era)
 	r.applyOutage(message)
 	if respondedAt.After(r.lastContactAt) {
@@ -168,38 +175,43 @@
 	}
 	update := Update{Revision: message.ToRevision, Era: message.Era, Source: message.Reader}
 	if message.Era > version.Era {
-		if version.Revision != 0 && r.applyRestore(&message, &update) {
+		if version.Revision != 0 && r.applyRestore(message, &update) {
 			update.OutageEndedAt = r.recentOutageEnd(message.receivedAt)
 			r.Apply(time.Now(), update)
-			return false
+			return lagNone
 		}
-		return true
+		return lagRestored
 	}
 	update.OutageEndedAt = r.recentOutageEnd(message.receivedAt)
 	if !message.to().After(version) || message.FromEra != message.Era {
-		return false
+		return lagNone
 	}
-	if len(message.Changed) == 0 || message.FromRevision > version.Revision || r.needsFullRead {
-		return true
+	switch {
+	case r.needsFullRead:
+		return lagFullRead
+	case message.FromRevision > version.Revision:
+		return lagMissed
+	case len(message.Changed) == 0:
+		return lagAnnounced
 	}
 	changes := Changes{Revision: message.ToRevision, Era: message.Era}
 	earlier := map[string]Item{}
 	for i := range message.Changed {
 		ev, ok := r.decodeChange(&message.Changed[i], earlier)
 		if !ok {
-			return true
+			return lagUndecodable
 		}
 		earlier[ev.Key] = ev.Item
 		changes.Events = append(changes.Events, ev)
 	}
 	r.applyChanges(&update, changes)
 	r.Apply(time.Now(), update)
-	return false
+	return lagNone
 }
 
 // applyOutage records that the store recovered for a reader, unless the store responded to this
 // instance in the meantime: then only the reader was cut off, and no entries expired.
-func (r *Replicator) applyOutage(message receivedMessage) {
+func (r *Replicator) applyOutage(message *receivedMessage) {
 	beganAt := message.receivedAt.Add(-time.Duration(message.OutageBeganMillis) * time.Millisecond)
 	if message.OutageEndedMillis == 0 || r.lastContactAt.After(beganAt) {
 		return
@@ -268,28 +280,33 @@
 	}
 	message := r.newHeartbeat(now)
 	message.FromRevision, message.FromEra, message.ToRevision, message.Era = from.Revision, from.Era, changes.Revision, changes.Era
-	r.sendMessage(message, encoded)
+	stats := sendStats{}
+	r.sendMessage(message, encoded, &stats)
+	r.logSend(now, changes.Revision, len(encoded), &stats)
 }
 
 // sendMessage sends changes in one message, or splits them in half until each message fits. Of a
 // change that does not fit alone only the revision is sent, which shows the others that they lack
 // it.
-func (r *Replicator) sendMessage(message ChangeMessage, items []changeItem) {
+func (r *Replicator) sendMessage(message ChangeMessage, items []changeItem, stats *sendStats) {
 	message.Changed = items
 	data, ok := encodeMessage(&message)
 	if !ok || r.Broadcast(data) {
+		stats.messages++
+		stats.bytes += len(data)
 		return
 	}
 	if len(items) <= 1 {
-		r.sendMessage(message, nil)
+		stats.announced++
+		r.sendMessage(message, nil, stats)
 		return
 	}
 	first, second := message, message
 	half := len(items) / 2
 	first.ToRevision = items[half-1].Revision
 	second.FromRevision = first.ToRevision
-	r.sendMessage(first, items[:half])
-	r.sendMessage(second, items[half:])
+	r.sendMessage(first, items[:half], stats)
+	r.sendMessage(second, items[half:], stats)
 }
 
 // encodeMessage encodes and compresses a message.
@@ -331,7 +348,7 @@
 	report := r.failures == failuresBeforeReport && r.version.Revision > 0
 	r.mu.Unlock()
 	if report && r.Broadcast != nil && r.isReader() {
-		r.sendMessage(r.newHeartbeat(now), nil)
+		r.sendMessage(r.newHeartbeat(now), nil, &sendStats{})
 	}
 }
 
@@ -352,7 +369,7 @@
 			}
 			wasReader = isReader
 			if message := r.newHeartbeat(now); isReader && message.ToRevision > 0 && message.ResponseAgeMillis < maxResponseAge.Milliseconds() {
-				r.sendMessage(message, nil)
+				r.sendMessage(message, nil, &sendStats{})
 			}
 		case <-ctx.Done():
 			return ctx.Err()
--- a/internal/feed/era.go
+++ b/internal/feed/era.go
@@ -121,7 +121,7 @@
 		return
 	}
 	// The others read the store themselves when a heartbeat shows them the new era.
-	r.sendMessage(r.newHeartbeat(now), nil)
+	r.sendMessage(r.newHeartbeat(now), nil, &sendStats{})
 }
 
 // applyRestore applies the difference that a restore has made, if it refers to the present copy, and
--- a/internal/feed/replicator.go
+++ b/internal/feed/replicator.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,10 +54,13 @@
 	Restored bool
 	Revision int64
 	Era      int64
-	// Source is "store", or the instance that sent the update.
+	// Source is SourceStore, or the instance that sent the update.
 	Source string
 }
 
+// SourceStore is the source of updates that this instance has read from the store itself.
+const SourceStore = "store"
+
 func (u *Update) version() Version { return Version{Era: u.Era, Revision: u.Revision} }
 
 // Snapshot is a complete copy at a version.
@@ -107,7 +111,9 @@
 	// failures counts the failed calls since lastResponseAt.
 	failures int
 	messages chan receivedMessage
-	initOnce sync.Once
+	// droppedMessages counts messages that did not fit into the queue.
+	droppedMessages atomic.Uint64
+	initOnce        sync.Once
 
 	// The fields below belong to the goroutine of Run. lastContactAt is when the store last
 	// responded or when Run started; storeUnavailable is set during an outage.
@@ -119,6 +125,9 @@
 	// again.
 	needsFullRead bool
 	backoff       time.Duration
+	lag           lag
+	// failedCalls counts the consecutive failed calls of this instance.
+	failedCalls int
 	// readerExpiry is the time until which each reader's messages are relied on.
 	readerExpiry map[string]time.Time
 }
@@ -224,6 +233,7 @@
 	if len(update.Changed)+len(update.Removed) > 0 || update.OutageEndedAt.Equal(now) {
 		r.Apply(now, update)
 	}
+	r.endLag(now, update.Source)
 	return len(changes.Events) > 0, nil
 }
 
@@ -306,6 +316,7 @@
 	r.broadcastRestore(now, from, first, r.replaceItems(&update, items))
 	r.needsFullRead = false
 	r.Apply(now, update)
+	r.endLag(now, update.Source)
 	return nil
 }
 
@@ -365,7 +376,7 @@
 // beginUpdate records a response of the store and returns an update for it.
 func (r *Replicator) beginUpdate(now time.Time, version Version) Update {
 	r.recordResponse(now)
-	return Update{Revision: version.Revision, Era: version.Era, Source: "store", OutageEndedAt: r.recentOutageEnd(now)}
+	return Update{Revision: version.Revision, Era: version.Era, Source: SourceStore, OutageEndedAt: r.recentOutageEnd(now)}
 }
 
 // recentOutageEnd returns when the store recovered, or the zero time if that was not recent.
@@ -434,11 +445,13 @@
 	update := Update{Full: true, Restored: restored, Revision: snapshot.Revision, Era: snapshot.Era, Source: source, OutageEndedAt: r.recentOutageEnd(now)}
 	r.replaceItems(&update, items)
 	r.Log.Write(now, timeline.Event{Kind: "copy_from_member", Member: source, Revision: snapshot.Revision})
+	r.endLag(now, source)
 	r.needsFullRead = false
 	r.Apply(now, update)
 }
 
 func (r *Replicator) observeCall(kind string, startedAt time.Time, err error) {
+	r.recordCall(time.Now(), kind, startedAt, err)
 	if r.ObserveCall != nil {
 		r.ObserveCall(kind, time.Since(startedAt), err)
 	}
--- a/internal/relay/config_applier.go
+++ b/internal/relay/config_applier.go
@@ -40,6 +40,8 @@
 		c.targetEntries.SourceRecovered(update.OutageEndedAt)
 	}
 	listed := map[string]bool{}
+	changes := targetChanges{log: c.Log, revision: update.Revision, member: update.Source, summarise: update.Full || update.Source != feed.SourceStore}
+	defer changes.write(now)
 	for i := range update.Changed {
 		item := &update.Changed[i]
 		if item.Key == c.TableItemKey {
@@ -47,14 +49,14 @@
 		}
 		if id, ok := strings.CutPrefix(item.Key, c.TargetKeyPrefix); ok {
 			listed[id] = true
-			c.applyTarget(now, id, item)
+			c.applyTarget(now, id, item, &changes)
 		}
 	}
 	for _, key := range update.Removed {
 		if id, ok := strings.CutPrefix(key, c.TargetKeyPrefix); ok {
 			decision := map[bool]string{true: "kept_after_outage", false: "taken_out"}[c.targetEntries.Remove(now, id)]
 			c.Targets.RecordRemoval(now, id)
-			c.Log.Write(now, timeline.Event{Kind: "target_removed", Target: id, Revision: update.Revision, Decision: decision})
+			changes.add(now, timeline.Event{Kind: "target_removed", Target: id, Revision: update.Revision, Decision: decision})
 		}
 	}
 	if update.Full {
@@ -82,7 +84,7 @@
 	}
 }
 
-func (c *ConfigApplier) applyTarget(now time.Time, id string, item *feed.Item) {
+func (c *ConfigApplier) applyTarget(now time.Time, id string, item *feed.Item, changes *targetChanges) {
 	t, err := c.DecodeTarget(item.Key, item.Value)
 	if err != nil {
 		c.Log.Write(now, timeline.Event{Kind: "target_entry_unusable", Target: id, Revision: item.Revision, Why: "decode_failed"})
@@ -94,7 +96,7 @@
 		if t.Leaving {
 			decision = "leaving"
 		}
-		c.Log.Write(now, timeline.Event{Kind: "target_entry", Target: id, Revision: item.Revision, Entry: t.Pool, Version: t.Version, Decision: decision})
+		changes.add(now, timeline.Event{Kind: "target_entry", Target: id, Revision: item.Revision, Entry: t.Pool, Version: t.Version, Decision: decision})
 	}
 }
 
