Show three ways in which a change of the configuration does not reach all instances

A change that does not fit a datagram has one source, the store; keys of one revision are split between two datagrams. One instance that the store turns away lacks a table of 8 KiB after 4 s. Some of 8 keys of one transaction never arrive. Ruled out: small changes: 1 to 20 routes at 60 instances passes.

--- /dev/null
+++ b/internal/feed/large_change_test.go
@@ -0,0 +1,289 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// maxApplyTime is the time within which a change has to be in force at all instances.
+const maxApplyTime = 4 * time.Second
+
+// wire delays bytes as a link of limited rate does; it is shared by all that use the link.
+type wire struct {
+	bitsPerSecond float64
+	mu            sync.Mutex
+	freeAt        time.Time
+}
+
+// carry waits until n bytes have passed, and returns false if ctx ends first.
+func (l *wire) carry(ctx context.Context, n int) bool {
+	l.mu.Lock()
+	l.freeAt = maxTime(l.freeAt, time.Now()).Add(time.Duration(float64(n) * 8 / l.bitsPerSecond * float64(time.Second)))
+	until := l.freeAt
+	l.mu.Unlock()
+	if wait := time.Until(until); wait > time.Millisecond {
+		sleep(ctx, wait)
+	}
+	return ctx.Err() == nil
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// testInstance is an instance of a testFleet, which takes its part of the store and of the network.
+type testInstance struct {
+	fleet      *testFleet
+	name       string
+	address    netip.AddrPort
+	wire       *wire
+	membership *Membership
+	replicator *Replicator
+	recorder   *updateRecorder
+	// refused makes the store turn this instance away; deaf drops the datagrams to it, and frozen its calls.
+	refused atomic.Bool
+	deaf    atomic.Bool
+	frozen  atomic.Bool
+	calls   atomic.Int64
+}
+
+// testFleet is a number of instances before one store.
+type testFleet struct {
+	store     *storeStub
+	storeWire *wire
+	instances []*testInstance
+	byAddress map[netip.AddrPort]*testInstance
+}
+
+func itemBytes(items []Item) int {
+	n := 0
+	for i := range items {
+		n += 100 + (len(items[i].Value)+2)/3*4
+	}
+	return n
+}
+
+func (in *testInstance) Range(ctx context.Context, prefix, after string) (Page, error) {
+	in.calls.Add(1)
+	if in.refused.Load() {
+		return Page{}, errDown
+	}
+	p, err := in.fleet.store.Range(ctx, prefix, after)
+	if n := itemBytes(p.Items); !in.fleet.storeWire.carry(ctx, n) || !in.wire.carry(ctx, n) {
+		return Page{}, ctx.Err()
+	}
+	return p, err
+}
+
+func (in *testInstance) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error) {
+	in.calls.Add(1)
+	if in.refused.Load() {
+		return Changes{}, errDown
+	}
+	c, err := in.fleet.store.Watch(ctx, prefix, after, wait)
+	n := 0
+	for i := range c.Events {
+		n += itemBytes([]Item{c.Events[i].Item})
+	}
+	if !in.fleet.storeWire.carry(ctx, n) || !in.wire.carry(ctx, n) {
+		return Changes{}, ctx.Err()
+	}
+	return c, err
+}
+
+var errNoSuchMethod = errors.New("no such method")
+
+// Call calls a method of another instance.
+func (in *testInstance) Call(ctx context.Context, to netip.AddrPort, method string, args, reply any) error {
+	other := in.fleet.byAddress[to]
+	if other == nil || other.frozen.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if method != "feed.Later" {
+		return errNoSuchMethod
+	}
+	out := reply.(*LaterReply)
+	err := (&SnapshotService{Replicator: other.replicator}).Later(args.(*LaterRequest), out)
+	if n := itemBytes(out.Items); !other.wire.carry(ctx, n) || !in.wire.carry(ctx, n) {
+		return ctx.Err()
+	}
+	return err
+}
+
+func (in *testInstance) broadcast(data []byte) bool {
+	if len(data) >= 1400 {
+		return false
+	}
+	for _, other := range in.fleet.instances {
+		if other == in {
+			continue
+		}
+		in.wire.carry(context.Background(), len(data))
+		if !other.deaf.Load() {
+			other.replicator.HandleMessage(time.Now(), data)
+		}
+	}
+	return true
+}
+
+// startFleet starts n instances in five data centres whose links carry as much as those of the smallest machines.
+func startFleet(t *testing.T, n int, table string) *testFleet {
+	t.Helper()
+	const members = "targets/instances/"
+	f := &testFleet{store: newStoreStub(), storeWire: &wire{bitsPerSecond: 1e9}, byAddress: map[netip.AddrPort]*testInstance{}}
+	f.store.put("operators/table", table)
+	for i := range n {
+		in := &testInstance{fleet: f, name: fmt.Sprintf("i%d", i), address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000), wire: &wire{bitsPerSecond: 20e6}}
+		in.membership = &Membership{Self: in.address, KeyPrefix: members, Caller: in}
+		in.replicator = &Replicator{Store: in, Peers: in.membership, InstanceName: in.name, IsReader: in.membership.IsReader, Broadcast: in.broadcast, Apply: in.membership.Apply}
+		f.instances, f.byAddress[in.address] = append(f.instances, in), in
+		f.store.put(members+in.address.String(), fmt.Sprintf(`{"name":%q,"address":%q,"data_centre":"dc%d"}`, in.name, in.address, i%5))
+	}
+	for _, in := range f.instances {
+		in.replicator.Init()
+	}
+	for _, in := range f.instances {
+		in.recorder = startReplicator(t, in.replicator)
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = in.replicator.RunHeartbeats(ctx)
+		}()
+		t.Cleanup(func() {
+			stop()
+			<-done
+		})
+	}
+	f.requireTable(t, table, 30*time.Second)
+	time.Sleep(WatchWait + watchMargin)
+	return f
+}
+
+// lagging returns the names of the instances that do not have a table.
+func (f *testFleet) lagging(table string) []string {
+	var list []string
+	for _, in := range f.instances {
+		if in.recorder.get("operators/table") != table {
+			list = append(list, in.name)
+		}
+	}
+	return list
+}
+
+func (f *testFleet) requireTable(t *testing.T, table string, within time.Duration) {
+	t.Helper()
+	for deadline := time.Now().Add(within); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if len(f.lagging(table)) == 0 {
+			return
+		}
+	}
+	list := f.lagging(table)
+	require.Empty(t, list[:min(len(list), 5)], "%d of %d instances do not have the table after %s", len(list), len(f.instances), within)
+}
+
+func (f *testFleet) calls() int64 {
+	n := int64(0)
+	for _, in := range f.instances {
+		n += in.calls.Load()
+	}
+	return n
+}
+
+// reader returns an instance that reads the store for the others, and listener one that does not.
+func (f *testFleet) find(reader bool) *testInstance {
+	for _, in := range f.instances {
+		if in.membership.IsReader() == reader {
+			return in
+		}
+	}
+	return nil
+}
+
+// routeTable returns a table of n routes, of some 260 bytes each; the first ones do not depend on n.
+func routeTable(n int) string {
+	random := rand.New(rand.NewPCG(uint64(7), 7))
+	var b strings.Builder
+	for range n {
+		fmt.Fprintf(&b, `{"name":"route-%x","host":"h%x.example","pathPrefix":"/p%x/","kind":"streaming","timeoutMs":25000,"targetLatencyMs":4500,"gapTargetMs":700,"priority":1,"maxAttempts":5,"resumable":true,"weightedServices":[{"service":"drafts","weight":1}]},`,
+			random.Uint32(), random.Uint32(), random.Uint32())
+	}
+	return b.String()
+}
+
+// Guards against a large change of the configuration that all instances read from the store at once, and that comes
+// into force late or nowhere.
+func TestLargeChangeReachesAllInstances(t *testing.T) {
+	for _, test := range []struct{ instances, from, to int }{{60, 1, 20}, {60, 100, 1500}, {295, 1, 1800}, {295, 1800, 3200}, {420, 2600, 4000}} {
+		t.Run(fmt.Sprintf("%d instances %d to %d routes", test.instances, test.from, test.to), func(t *testing.T) {
+			f := startFleet(t, test.instances, routeTable(test.from))
+			before := f.calls()
+			table := routeTable(test.to)
+			f.store.put("operators/table", table)
+			f.requireTable(t, table, maxApplyTime)
+			require.LessOrEqual(t, f.calls()-before, int64(20), "calls to the store of two readers within %s", maxApplyTime)
+		})
+	}
+}
+
+// Guards against keys of one transaction of which some never arrive, since they need two datagrams.
+func TestKeysOfOneTransactionAllArrive(t *testing.T) {
+	f := startFleet(t, 4, routeTable(1))
+	keys := map[string]string{}
+	random := rand.New(rand.NewPCG(3, 3))
+	for i := range 8 {
+		value := ""
+		for range 70 {
+			value += fmt.Sprintf("%016x", random.Uint64())
+		}
+		keys[fmt.Sprintf("targets/key-%d", i)] = value
+	}
+	f.store.putAll(keys)
+	for _, in := range f.instances {
+		for key, value := range keys {
+			requireEventually(t, in.recorder, key, value, maxApplyTime)
+		}
+	}
+}
+
+// Guards against an instance that never gets a change which does not fit a datagram, since the store turns it away while
+// it hears of readers.
+func TestInstanceTurnedAwayByStoreGetsLargeChange(t *testing.T) {
+	f := startFleet(t, 12, routeTable(1))
+	in := f.find(false)
+	in.refused.Store(true)
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(60 * time.Millisecond):
+				f.store.put("targets/a", fmt.Sprint(i))
+			}
+		}
+	}()
+	defer func() {
+		close(stop)
+		<-done
+	}()
+	table := randomText(8 << 10)
+	f.store.put("operators/table", table)
+	f.requireTable(t, table, maxApplyTime)
+}
--- a/internal/feed/replicator_test.go
+++ b/internal/feed/replicator_test.go
@@ -41,6 +41,18 @@
 	s.events = append(s.events, Event{Item: it})
 }
 
+// putAll writes keys in one transaction.
+func (s *storeStub) putAll(values map[string]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	for key, value := range values {
+		it := Item{Key: key, Value: []byte(value), Revision: s.revision, Era: s.era}
+		s.items[key] = it
+		s.events = append(s.events, Event{Item: it})
+	}
+}
+
 func (s *storeStub) remove(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -174,7 +186,13 @@
 func startReplicator(t *testing.T, r *Replicator) *updateRecorder {
 	t.Helper()
 	recorder := &updateRecorder{}
-	r.Prefixes, r.Apply = []string{"operators/", "targets/"}, recorder.apply
+	next := r.Apply
+	r.Prefixes, r.Apply = []string{"operators/", "targets/"}, func(now time.Time, update Update) {
+		if next != nil {
+			next(now, update)
+		}
+		recorder.apply(now, update)
+	}
 	r.Init()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
