Keep the keys of one transaction in one message

Cause: a reader splits changes that need two datagrams at any place. A receiver that has applied the first half of a revision's changes is at that revision and skips the second half; nothing shows that it lacks them. Evidence: TestKeysOfOneTransactionAllArrive failed before (some of 8 keys of one transaction never arrive). Change: messages are split between revisions only; of the changes of one revision that do not fit, the revision is announced, and the others read them. Ruled out: that operators or engines write such transactions today: engines write one key each; rollout records and keys of the decider are written together, and are small.

--- a/internal/feed/broadcast.go
+++ b/internal/feed/broadcast.go
@@ -285,9 +285,9 @@
 	r.logSend(now, changes.Revision, len(encoded), &stats)
 }
 
-// sendMessage sends changes in one message, or splits them in half until each message fits. Of a
-// change that does not fit alone only the revision is sent, which shows the others that they lack
-// it.
+// sendMessage sends changes in one message, or splits them in half until each message fits. Of the
+// changes of one revision that do not fit only the revision is sent, which shows the others that they
+// lack them.
 func (r *Replicator) sendMessage(message ChangeMessage, items []changeItem, stats *sendStats) {
 	message.Changed = items
 	data, ok := encodeMessage(&message)
@@ -296,19 +296,32 @@
 		stats.bytes += len(data)
 		return
 	}
-	if len(items) <= 1 {
+	half := splitByRevision(items)
+	if half == 0 {
 		stats.announced++
 		r.sendMessage(message, nil, stats)
 		return
 	}
 	first, second := message, message
-	half := len(items) / 2
 	first.ToRevision = items[half-1].Revision
 	second.FromRevision = first.ToRevision
 	r.sendMessage(first, items[:half], stats)
 	r.sendMessage(second, items[half:], stats)
 }
 
+// splitByRevision returns how many of the items go into the first of two messages, or 0 if all items are of one
+// revision: a copy that has applied the first message is at its revision, and would skip further changes of it.
+func splitByRevision(items []changeItem) int {
+	for distance := range len(items) {
+		for _, at := range [...]int{len(items)/2 - distance, len(items)/2 + distance} {
+			if at > 0 && at < len(items) && items[at].Revision != items[at-1].Revision {
+				return at
+			}
+		}
+	}
+	return 0
+}
+
 // encodeMessage encodes and compresses a message.
 func encodeMessage(message *ChangeMessage) ([]byte, bool) {
 	encoded, err := json.Marshal(message)
