Let instances fetch large changes from each other instead of the store

Cause: a change that does not fit a datagram has one source, the store. All instances read it there at the same moment, over links that are too narrow for that; one whose own calls fail stays behind for as long as they do, since readers' heartbeats count as contact and other instances are asked only without any. Class: a message that says that there is news, with a single way to get it. Change: the members of a data centre form a tree, four below each; one that is behind asks its parent, then the parent's parent and so on, and the readers (feed.Changes). The store comes last. A change that needs more than two datagrams is announced only. Long values go as patches; instances of former builds fail to decode those and read the store, as they did. No heartbeat announces a change before it is sent. A call to the store is bounded by silence, not by the time of the whole answer, so that a busy link's answers are not thrown away and begun again. A reader whose calls fail listens to the other one.

--- a/internal/feed/broadcast.go
+++ b/internal/feed/broadcast.go
@@ -4,10 +4,8 @@
 	"context"
 	"encoding/json"
 	"time"
-	"unicode/utf8"
 
 	"bambooferry.example/bambooferry/internal/difference"
-	"bambooferry.example/bambooferry/pkg/timeline"
 )
 
 const (
@@ -37,7 +35,9 @@
 	FromEra int64 `json:"from_era,omitempty"`
 	// Restored is set if Changed is the whole difference that a restore of the store has made to the
 	// copy at FromRevision.
-	Restored bool         `json:"restored,omitempty"`
+	Restored bool `json:"restored,omitempty"`
+	// Complete is set if Changed is the whole copy; such a message is sent as a reply only.
+	Complete bool         `json:"complete,omitempty"`
 	Changed  []changeItem `json:"changed,omitempty"`
 	// ResponseAgeMillis is the age of the store's last response.
 	ResponseAgeMillis int64 `json:"answered_ms"`
@@ -65,6 +65,9 @@
 	BaseRevision int64  `json:"base,omitempty"`
 	BaseEra      int64  `json:"base_era,omitempty"`
 	Delta        []byte `json:"packed,omitempty"`
+	// Patch is sent instead of Delta for a long value. Instances that do not know it fail to decode the empty
+	// Delta, and read the store.
+	Patch []byte `json:"patch,omitempty"`
 }
 
 func (m *ChangeMessage) from() Version { return Version{Era: m.FromEra, Revision: m.FromRevision} }
@@ -125,41 +128,36 @@
 	}
 }
 
-// drainMessages applies the queued messages and reports whether the copy is behind.
-func (r *Replicator) drainMessages() (behind bool) {
+// drainMessages applies the queued messages.
+func (r *Replicator) drainMessages() {
 	for {
 		select {
 		case message := <-r.messages:
-			behind = r.applyMessage(message) || behind && message.to().After(r.Version())
+			r.applyMessage(message)
 		default:
-			return behind
+			return
 		}
 	}
 }
 
-// waitForMessage waits for a message while this instance relies on readers, and reports whether the
-// copy is behind.
-func (r *Replicator) waitForMessage(ctx context.Context) (behind bool) {
+// waitForMessage waits for a message while this instance relies on readers, and applies it.
+func (r *Replicator) waitForMessage(ctx context.Context) {
 	t := time.NewTimer(time.Until(r.readersValidUntil()))
 	defer t.Stop()
 	select {
 	case message := <-r.messages:
-		return r.applyMessage(message)
+		r.applyMessage(message)
 	case <-t.C:
-		return false
 	case <-ctx.Done():
-		return false
 	}
 }
 
-// applyMessage applies one message and reports whether the copy lacks changes that the message
-// announces.
-func (r *Replicator) applyMessage(message receivedMessage) (behind bool) {
-	reason := r.applyChangeMessage(&message)
-	r.recordLag(message.receivedAt, &message, reason)
-	return reason != lagNone
+// applyMessage applies one message from another instance.
+func (r *Replicator) applyMessage(message receivedMessage) {
+	r.recordLag(message.receivedAt, &message, r.applyChangeMessage(&message))
 }
 
+// applyChangeMessage applies one message and returns why the copy lacks changes that it announces, if it does.
 func (r *Replicator) applyChangeMessage(message *receivedMessage) lagReason {
 	version := r.Version()
 	if message.Era < version.Era {
@@ -183,6 +181,9 @@
 		return lagRestored
 	}
 	update.OutageEndedAt = r.recentOutageEnd(message.receivedAt)
+	if message.FromEra == message.Era {
+		r.recordAnnouncement(message.receivedAt, message.to())
+	}
 	if !message.to().After(version) || message.FromEra != message.Era {
 		return lagNone
 	}
@@ -194,17 +195,9 @@
 	case len(message.Changed) == 0:
 		return lagAnnounced
 	}
-	changes := Changes{Revision: message.ToRevision, Era: message.Era}
-	earlier := map[string]Item{}
-	for i := range message.Changed {
-		ev, ok := r.decodeChange(&message.Changed[i], earlier)
-		if !ok {
-			return lagUndecodable
-		}
-		earlier[ev.Key] = ev.Item
-		changes.Events = append(changes.Events, ev)
+	if !r.applyChanged(&message.ChangeMessage, &update) {
+		return lagUndecodable
 	}
-	r.applyChanges(&update, changes)
 	r.Apply(time.Now(), update)
 	return lagNone
 }
@@ -243,93 +236,12 @@
 		return ev, false
 	}
 	var err error
-	ev.Value, err = difference.Decode(old.Value, change.Delta, maxValueSize)
-	return ev, err == nil
-}
-
-// encodeChange encodes a change for a message; a large value becomes a delta to the item that it
-// replaces.
-func encodeChange(ev *Event, old Item) changeItem {
-	change := changeItem{Key: ev.Key, Revision: ev.Revision, Era: ev.Era, Removed: ev.Removed}
-	if utf8.Valid(ev.Value) {
-		change.Text = string(ev.Value)
+	if change.Patch != nil {
+		ev.Value, err = difference.DecodePatch(old.Value, change.Patch, maxValueSize)
 	} else {
-		change.Value = ev.Value
-	}
-	if len(ev.Value) < deltaThreshold || old.Revision == 0 {
-		return change
-	}
-	delta, err := difference.Encode(old.Value, ev.Value)
-	if err != nil || len(delta) >= len(ev.Value) {
-		return change
-	}
-	change.Text, change.Value, change.BaseRevision, change.BaseEra, change.Delta = "", nil, old.Revision, old.Era, delta
-	return change
-}
-
-// broadcastChanges sends changes to the other instances, in as many messages as they need.
-func (r *Replicator) broadcastChanges(now time.Time, from Version, changes Changes, replaced map[string]Item) {
-	if r.Broadcast == nil || !r.isReader() || !changes.version().After(from) {
-		return
-	}
-	encoded := make([]changeItem, 0, len(changes.Events))
-	for i := range changes.Events {
-		ev := &changes.Events[i]
-		encoded = append(encoded, encodeChange(ev, replaced[ev.Key]))
-		replaced[ev.Key] = ev.Item
-	}
-	message := r.newHeartbeat(now)
-	message.FromRevision, message.FromEra, message.ToRevision, message.Era = from.Revision, from.Era, changes.Revision, changes.Era
-	stats := sendStats{}
-	r.sendMessage(message, encoded, &stats)
-	r.logSend(now, changes.Revision, len(encoded), &stats)
-}
-
-// sendMessage sends changes in one message, or splits them in half until each message fits. Of the
-// changes of one revision that do not fit only the revision is sent, which shows the others that they
-// lack them.
-func (r *Replicator) sendMessage(message ChangeMessage, items []changeItem, stats *sendStats) {
-	message.Changed = items
-	data, ok := encodeMessage(&message)
-	if !ok || r.Broadcast(data) {
-		stats.messages++
-		stats.bytes += len(data)
-		return
-	}
-	half := splitByRevision(items)
-	if half == 0 {
-		stats.announced++
-		r.sendMessage(message, nil, stats)
-		return
-	}
-	first, second := message, message
-	first.ToRevision = items[half-1].Revision
-	second.FromRevision = first.ToRevision
-	r.sendMessage(first, items[:half], stats)
-	r.sendMessage(second, items[half:], stats)
-}
-
-// splitByRevision returns how many of the items go into the first of two messages, or 0 if all items are of one
-// revision: a copy that has applied the first message is at its revision, and would skip further changes of it.
-func splitByRevision(items []changeItem) int {
-	for distance := range len(items) {
-		for _, at := range [...]int{len(items)/2 - distance, len(items)/2 + distance} {
-			if at > 0 && at < len(items) && items[at].Revision != items[at-1].Revision {
-				return at
-			}
-		}
-	}
-	return 0
-}
-
-// encodeMessage encodes and compresses a message.
-func encodeMessage(message *ChangeMessage) ([]byte, bool) {
-	encoded, err := json.Marshal(message)
-	if err != nil {
-		return nil, false
+		ev.Value, err = difference.Decode(old.Value, change.Delta, maxValueSize)
 	}
-	data, err := difference.Encode(nil, encoded)
-	return data, err == nil
+	return ev, err == nil
 }
 
 const (
@@ -338,58 +250,13 @@
 	// maxMessageSize bounds a decoded message, and maxValueSize a value of the store.
 	maxMessageSize = 256 << 10
 	maxValueSize   = 1 << 20
+	// maxMessagesPerChange bounds the messages that a reader sends to each other instance for one change.
+	maxMessagesPerChange = 2
 )
 
-// newHeartbeat returns a message without changes.
-func (r *Replicator) newHeartbeat(now time.Time) ChangeMessage {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	message := ChangeMessage{FromRevision: r.version.Revision, ToRevision: r.version.Revision, FromEra: r.version.Era, Era: r.version.Era, Reader: r.InstanceName, ResponseAgeMillis: now.Sub(r.lastResponseAt).Milliseconds()}
-	message.Failing = r.failures >= failuresBeforeReport
-	if sinceEnd := now.Sub(r.outageEndedAt); !r.outageEndedAt.IsZero() && sinceEnd < outageReportWindow {
-		message.OutageEndedMillis = max(sinceEnd.Milliseconds(), 1)
-		message.OutageBeganMillis = now.Sub(r.outageBeganAt).Milliseconds()
-	}
-	return message
-}
-
-// recordFailure counts a failed call and notifies the others when they should read the store
-// themselves.
-func (r *Replicator) recordFailure(now time.Time) {
-	r.mu.Lock()
-	r.failures++
-	report := r.failures == failuresBeforeReport && r.version.Revision > 0
-	r.mu.Unlock()
-	if report && r.Broadcast != nil && r.isReader() {
-		r.sendMessage(r.newHeartbeat(now), nil, &sendStats{})
-	}
-}
-
 // outageReportWindow is how long the end of an outage is reported.
 const outageReportWindow = 5 * time.Second
 
-// RunHeartbeats announces to the others, until ctx ends, that this instance reads the store.
-func (r *Replicator) RunHeartbeats(ctx context.Context) error {
-	tick := time.NewTicker(heartbeatInterval)
-	defer tick.Stop()
-	wasReader := false
-	for {
-		select {
-		case now := <-tick.C:
-			isReader := r.Broadcast != nil && r.isReader()
-			if isReader != wasReader {
-				r.Log.Write(now, timeline.Event{Kind: "store_reader", Decision: map[bool]string{true: "reads_for_others", false: "relies_on_others"}[isReader]})
-			}
-			wasReader = isReader
-			if message := r.newHeartbeat(now); isReader && message.ToRevision > 0 && message.ResponseAgeMillis < maxResponseAge.Milliseconds() {
-				r.sendMessage(message, nil, &sendStats{})
-			}
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
 func minTime(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/feed/era.go
+++ b/internal/feed/era.go
@@ -57,8 +57,8 @@
 	return r.version.Revision != 0 && r.observedEra > r.version.Era
 }
 
-// awaitRestoredCopy waits for a reader's message with the restored content, so that not all instances
-// read the store at once.
+// awaitRestoredCopy waits for a reader's message with the restored content, or fetches it from another instance, so
+// that not all instances read the store at once.
 func (r *Replicator) awaitRestoredCopy(ctx context.Context) {
 	if r.isReader() {
 		return
@@ -69,11 +69,14 @@
 		select {
 		case message := <-r.messages:
 			r.applyMessage(message)
+			continue
 		case <-t.C:
-			return
+			if r.reliesOnReaders(time.Now()) {
+				r.catchUp(ctx)
+			}
 		case <-ctx.Done():
-			return
 		}
+		return
 	}
 }
 
@@ -120,8 +123,8 @@
 	if data, ok := encodeMessage(&message); ok && r.Broadcast(data) {
 		return
 	}
-	// The others read the store themselves when a heartbeat shows them the new era.
-	r.sendMessage(r.newHeartbeat(now), nil, &sendStats{})
+	// The others fetch the copy from each other when a heartbeat shows them the new era.
+	r.announce(r.newHeartbeat(now))
 }
 
 // applyRestore applies the difference that a restore has made, if it refers to the present copy, and
@@ -156,6 +159,7 @@
 		r.items[ev.Key] = ev.Item
 		update.Changed = append(update.Changed, ev.Item)
 	}
-	r.version = message.to()
+	r.advance(message.to())
+	r.history.reset()
 	return true
 }
--- a/internal/feed/era_test.go
+++ b/internal/feed/era_test.go
@@ -348,3 +348,8 @@
 		})
 	}
 }
+
+func (p *replicatorPeer) FetchChanges(_ context.Context, request ChangesRequest, _ string) (data []byte, from string, ok bool) {
+	data = p.replicator.changesFor(&request)
+	return data, "a", len(data) > 0
+}
--- a/internal/feed/lag.go
+++ b/internal/feed/lag.go
@@ -25,10 +25,11 @@
 
 // lag tracks since when the copy is known to be behind another instance's.
 type lag struct {
-	since     time.Time
-	announced Version
-	reason    lagReason
-	calls     int
+	since  time.Time
+	reason lagReason
+	calls  int
+	// reader is the instance that has announced changes last.
+	reader string
 }
 
 // recordLag updates the lag after a message from another instance.
@@ -37,9 +38,7 @@
 		r.endLag(now, message.Reader)
 		return
 	}
-	if message.to().After(r.lag.announced) {
-		r.lag.announced = message.to()
-	}
+	r.lag.reader = message.Reader
 	if !r.lag.since.IsZero() {
 		return
 	}
@@ -52,14 +51,14 @@
 
 // endLag ends the lag if the copy has reached the announced version.
 func (r *Replicator) endLag(now time.Time, source string) {
-	if r.lag.since.IsZero() || r.lag.announced.After(r.Version()) {
+	if r.lag.since.IsZero() || r.isBehind() || r.isBehindEra() {
 		return
 	}
 	r.Log.Write(now, timeline.Event{
 		Kind: "copy_caught_up", Member: source, Why: string(r.lag.reason), Revision: r.Revision(),
 		Inputs: []timeline.Input{{Name: "behind_ms", Value: now.Sub(r.lag.since).Milliseconds()}, {Name: "store_calls", Value: int64(r.lag.calls)}},
 	})
-	r.lag = lag{}
+	r.lag = lag{reader: r.lag.reader}
 }
 
 // recordCall counts a call to the store, and logs the first one of consecutive failures and their end.
@@ -77,21 +76,22 @@
 	}
 }
 
-// sendStats counts what the changes of one watch became.
+// sendStats counts what a change became.
 type sendStats struct {
-	// messages and bytes count what was broadcast; announced counts changes of which only the version was.
+	changes int
+	// messages and bytes count what was broadcast; announced is set if the others have to fetch the changes.
 	messages  int
 	bytes     int
-	announced int
+	announced bool
 }
 
-// logSend logs changes that needed more than one datagram, or did not fit into one.
-func (r *Replicator) logSend(now time.Time, revision int64, changes int, stats *sendStats) {
-	if stats.messages <= 1 && stats.announced == 0 {
+// logSend logs changes that needed more than one message.
+func (r *Replicator) logSend(now time.Time, revision int64, stats *sendStats) {
+	if stats.messages <= 1 && !stats.announced {
 		return
 	}
 	r.Log.Write(now, timeline.Event{
-		Kind: "changes_sent", Revision: revision,
-		Inputs: []timeline.Input{{Name: "changes", Value: int64(changes)}, {Name: "datagrams", Value: int64(stats.messages)}, {Name: "bytes", Value: int64(stats.bytes)}, {Name: "announced_only", Value: int64(stats.announced)}},
+		Kind: "changes_sent", Revision: revision, Decision: map[bool]string{true: "announced", false: "sent"}[stats.announced],
+		Inputs: []timeline.Input{{Name: "changes", Value: int64(stats.changes)}, {Name: "messages", Value: int64(stats.messages)}, {Name: "bytes", Value: int64(stats.bytes)}},
 	})
 }
--- a/internal/feed/large_change_test.go
+++ b/internal/feed/large_change_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -13,6 +14,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"bambooferry.example/bambooferry/internal/difference"
 )
 
 // maxApplyTime is the time within which a change has to be in force at all instances.
@@ -27,16 +30,22 @@
 
 // carry waits until n bytes have passed, and returns false if ctx ends first.
 func (l *wire) carry(ctx context.Context, n int) bool {
-	l.mu.Lock()
-	l.freeAt = maxTime(l.freeAt, time.Now()).Add(time.Duration(float64(n) * 8 / l.bitsPerSecond * float64(time.Second)))
-	until := l.freeAt
-	l.mu.Unlock()
-	if wait := time.Until(until); wait > time.Millisecond {
-		sleep(ctx, wait)
+	for ; n > 0 && ctx.Err() == nil; n -= wireChunk {
+		l.mu.Lock()
+		l.freeAt = maxTime(l.freeAt, time.Now()).Add(time.Duration(float64(min(n, wireChunk)) * 8 / l.bitsPerSecond * float64(time.Second)))
+		until := l.freeAt
+		l.mu.Unlock()
+		if wait := time.Until(until); wait > time.Millisecond {
+			sleep(ctx, wait)
+		}
+		ReportProgress(ctx)
 	}
 	return ctx.Err() == nil
 }
 
+// wireChunk is what one transfer may send before others on the same link have their turn.
+const wireChunk = 32 << 10
+
 func maxTime(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -53,8 +62,10 @@
 	membership *Membership
 	replicator *Replicator
 	recorder   *updateRecorder
-	// refused makes the store turn this instance away; deaf drops the datagrams to it, and frozen its calls.
+	// refused makes the store turn this instance away; deaf drops the datagrams to it, and frozen its calls. former makes it
+	// answer calls as builds did that only knew complete copies.
 	refused atomic.Bool
+	former  atomic.Bool
 	deaf    atomic.Bool
 	frozen  atomic.Bool
 	calls   atomic.Int64
@@ -113,12 +124,25 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	if method != "feed.Later" {
+	if method == "feed.Changes" && other.former.Load() {
+		return errNoSuchMethod
+	}
+	service := &SnapshotService{Replicator: other.replicator}
+	n := 0
+	var err error
+	switch method {
+	case "feed.Later":
+		out := reply.(*LaterReply)
+		err = service.Later(args.(*LaterRequest), out)
+		n = itemBytes(out.Items)
+	case "feed.Changes":
+		out := reply.(*ChangesReply)
+		err = service.Changes(args.(*ChangesRequest), out)
+		n = len(out.Data)
+	default:
 		return errNoSuchMethod
 	}
-	out := reply.(*LaterReply)
-	err := (&SnapshotService{Replicator: other.replicator}).Later(args.(*LaterRequest), out)
-	if n := itemBytes(out.Items); !other.wire.carry(ctx, n) || !in.wire.carry(ctx, n) {
+	if !other.wire.carry(ctx, n) || !in.wire.carry(ctx, n) {
 		return ctx.Err()
 	}
 	return err
@@ -149,7 +173,7 @@
 	for i := range n {
 		in := &testInstance{fleet: f, name: fmt.Sprintf("i%d", i), address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000), wire: &wire{bitsPerSecond: 20e6}}
 		in.membership = &Membership{Self: in.address, KeyPrefix: members, Caller: in}
-		in.replicator = &Replicator{Store: in, Peers: in.membership, InstanceName: in.name, IsReader: in.membership.IsReader, Broadcast: in.broadcast, Apply: in.membership.Apply}
+		in.replicator = &Replicator{Store: in, Peers: in.membership, InstanceName: in.name, IsReader: in.membership.IsReader, Broadcast: in.broadcast, MaxBroadcast: 1399, Apply: in.membership.Apply}
 		f.instances, f.byAddress[in.address] = append(f.instances, in), in
 		f.store.put(members+in.address.String(), fmt.Sprintf(`{"name":%q,"address":%q,"data_centre":"dc%d"}`, in.name, in.address, i%5))
 	}
@@ -233,8 +257,10 @@
 			f := startFleet(t, test.instances, routeTable(test.from))
 			before := f.calls()
 			table := routeTable(test.to)
+			changedAt := time.Now()
 			f.store.put("operators/table", table)
 			f.requireTable(t, table, maxApplyTime)
+			t.Logf("%d bytes in force after %s with %d calls to the store", len(table), time.Since(changedAt), f.calls()-before)
 			require.LessOrEqual(t, f.calls()-before, int64(20), "calls to the store of two readers within %s", maxApplyTime)
 		})
 	}
@@ -287,3 +313,94 @@
 	f.store.put("operators/table", table)
 	f.requireTable(t, table, maxApplyTime)
 }
+
+// Guards against a large change that comes into force late since instances that pass it on are lost, turned away by the
+// store or get no datagrams.
+func TestLargeChangeBesideFaults(t *testing.T) {
+	for name, fault := range map[string]func(f *testFleet, i int, in *testInstance){
+		"a third turned away": func(_ *testFleet, i int, in *testInstance) { in.refused.Store(i%3 == 0) },
+		"readers turned away": func(_ *testFleet, _ int, in *testInstance) { in.refused.Store(in.membership.IsReader()) },
+		"some frozen":         func(_ *testFleet, i int, in *testInstance) { in.frozen.Store(i%4 == 0 && !in.membership.IsReader()) },
+		"some get nothing":    func(_ *testFleet, i int, in *testInstance) { in.deaf.Store(i%5 == 0) },
+		"former builds":       func(_ *testFleet, i int, in *testInstance) { in.former.Store(i%3 == 0) },
+		"narrow links": func(_ *testFleet, i int, in *testInstance) {
+			if i%10 == 0 && !in.membership.IsReader() {
+				in.wire.bitsPerSecond = 2e6
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startFleet(t, 120, routeTable(1000))
+			for i, in := range f.instances {
+				fault(f, i, in)
+			}
+			// The watches in progress end before the change.
+			time.Sleep(WatchWait + watchMargin)
+			table := routeTable(2000)
+			changedAt, before := time.Now(), f.calls()
+			f.store.put("operators/table", table)
+			f.requireTable(t, table, maxApplyTime)
+			t.Logf("in force after %s with %d calls to the store", time.Since(changedAt), f.calls()-before)
+		})
+	}
+}
+
+// Guards against a heartbeat that announces changes before they are sent, so that all others fetch them.
+func TestHeartbeatFollowsItsChanges(t *testing.T) {
+	store := newStoreStub()
+	store.put("operators/table", "1")
+	var mu sync.Mutex
+	var messages []ChangeMessage
+	sending := make(chan struct{})
+	reader := &Replicator{Store: store, InstanceName: "a", IsReader: func() bool { return true }}
+	reader.Broadcast = func(data []byte) bool {
+		decoded, err := difference.Decode(nil, data, maxMessageSize)
+		require.NoError(t, err)
+		message := ChangeMessage{}
+		require.NoError(t, json.Unmarshal(decoded, &message))
+		if len(message.Changed) > 0 {
+			close(sending)
+			time.Sleep(100 * time.Millisecond)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		messages = append(messages, message)
+		return true
+	}
+	recorder := startReplicator(t, reader)
+	requireEventually(t, recorder, "operators/table", "1", time.Second)
+	time.Sleep(changePause + 50*time.Millisecond)
+	store.put("operators/table", "2")
+	<-sending
+	reader.sendHeartbeat(time.Now())
+	mu.Lock()
+	defer mu.Unlock()
+	require.Len(t, messages, 2)
+	require.Len(t, messages[0].Changed, 1)
+	require.Equal(t, messages[0].ToRevision, messages[1].ToRevision)
+}
+
+// Guards against a reply that leaves out a change, and against one that is sent although earlier changes are missing.
+func TestHistoryHasNoGaps(t *testing.T) {
+	item := func(revision int64) changeItem {
+		return changeItem{Key: fmt.Sprint(revision), Revision: revision, Text: strings.Repeat("x", maxHistoryBytes/4)}
+	}
+	h := &history{}
+	h.add(Version{Revision: 10}, Version{Revision: 12}, []changeItem{item(11), item(12)})
+	h.add(Version{Revision: 12}, Version{Revision: 13}, nil)
+	h.add(Version{Revision: 11}, Version{Revision: 15}, []changeItem{item(12), item(14)})
+	for after, want := range map[int64]int{10: 0, 11: 2, 12: 1, 13: 1, 14: 0, 15: 0} {
+		items, ok := h.after(Version{Revision: after})
+		require.Equal(t, after != 10, ok, "after %d", after)
+		if ok {
+			require.Len(t, items, want, "after %d", after)
+		}
+	}
+	_, ok := h.after(Version{Era: 1, Revision: 14})
+	require.False(t, ok)
+	h.add(Version{Revision: 20}, Version{Revision: 21}, []changeItem{item(21)})
+	_, ok = h.after(Version{Revision: 15})
+	require.False(t, ok)
+	_, ok = h.after(Version{Revision: 20})
+	require.True(t, ok)
+}
--- a/internal/feed/membership.go
+++ b/internal/feed/membership.go
@@ -241,6 +241,95 @@
 	return Snapshot{}, "", false
 }
 
+// sourceFanOut is the number of instances of a data centre that fetch changes from the same one.
+const sourceFanOut = 4
+
+// sources returns the instances from which this one fetches changes, in the order in which it asks them.
+//
+// The members of a data centre form a tree in the order of their hashes. Each one asks its parent, then the parent's
+// parent and so on; the root asks the readers, the one that has announced the changes first. Two random members follow,
+// for when those are lost.
+func (m *Membership) sources(reader string) []netip.AddrPort {
+	others := m.OtherAddresses()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	selfKey := m.KeyPrefix + m.Self.String()
+	own, listed := m.members[selfKey]
+	keys := slices.SortedFunc(maps.Keys(m.members), func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	})
+	readers := keys[:min(len(keys), readerCount)]
+	var list []netip.AddrPort
+	if listed {
+		local := slices.DeleteFunc(slices.Clone(keys), func(key string) bool {
+			return m.members[key].DataCentre != own.DataCentre || key != selfKey && slices.Contains(readers, key)
+		})
+		for rank := slices.Index(local, selfKey); rank > 0; {
+			rank = (rank - 1) / sourceFanOut
+			list = append(list, m.members[local[rank]].Address)
+		}
+	}
+	first := len(list)
+	for _, key := range readers {
+		if member := m.members[key]; member.Name == reader {
+			list = slices.Insert(list, first, member.Address)
+		} else {
+			list = append(list, member.Address)
+		}
+	}
+	for range min(2, len(others)) {
+		list = append(list, others[rand.IntN(len(others))])
+	}
+	seen := map[netip.AddrPort]bool{m.Self: true}
+	return slices.DeleteFunc(list, func(a netip.AddrPort) bool {
+		known := seen[a]
+		seen[a] = true
+		return known
+	})
+}
+
+// FetchChanges asks the sources of this instance for changes, a further one when one does not have them or takes long.
+func (m *Membership) FetchChanges(ctx context.Context, request ChangesRequest, reader string) (data []byte, from string, ok bool) {
+	sources := m.sources(reader)
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	type reply struct {
+		data []byte
+		from netip.AddrPort
+	}
+	replies := make(chan reply, len(sources))
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for pending := 0; pending > 0 || len(sources) > 0; {
+		select {
+		case <-next.C:
+			if len(sources) == 0 {
+				continue
+			}
+			to := sources[0]
+			sources = sources[1:]
+			pending++
+			go func() {
+				out := ChangesReply{}
+				if m.Caller.Call(ctx, to, "feed.Changes", &request, &out) != nil {
+					out.Data = nil
+				}
+				replies <- reply{data: out.Data, from: to}
+			}()
+			next.Reset(sourceStagger)
+		case r := <-replies:
+			if len(r.data) > 0 {
+				return r.data, r.from.String(), true
+			}
+			pending--
+			next.Reset(0)
+		case <-ctx.Done():
+			return nil, "", false
+		}
+	}
+	return nil, "", false
+}
+
 type snapshotReply struct {
 	snapshot Snapshot
 	from     netip.AddrPort
--- a/internal/feed/replicator.go
+++ b/internal/feed/replicator.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"math/rand/v2"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -34,8 +32,10 @@
 	maxBackoff = 600 * time.Millisecond
 	// outageAfter is the time without a response after which the store counts as unavailable.
 	outageAfter = time.Second
-	// peerFetchTimeout bounds one round of calls to other instances while the store is unavailable.
+	// peerFetchTimeout bounds one round of calls to other instances while the store is unavailable, and laterTimeout one in
+	// which they send what is later than the copy in a compressed form.
 	peerFetchTimeout = 400 * time.Millisecond
+	laterTimeout     = time.Second
 	// maxPages bounds the pages of one prefix.
 	maxPages = 1000
 )
@@ -74,12 +74,15 @@
 	// FetchSnapshotAfter returns a copy newer than a version, with the name of the instance that
 	// sent it; ok is false if none was found.
 	FetchSnapshotAfter(ctx context.Context, after Version) (s Snapshot, from string, ok bool)
+	// FetchChanges returns an encoded ChangeMessage and the name of the instance that sent it. reader is
+	// the instance that has announced the changes; ok is false if none has them.
+	FetchChanges(ctx context.Context, request ChangesRequest, reader string) (data []byte, from string, ok bool)
 }
 
 // Replicator keeps a copy of some prefixes of the store; set its exported fields before Run.
 type Replicator struct {
 	Store StoreClient
-	// Peers is called while the store is unavailable; it may be nil.
+	// Peers is called when the copy is behind, and while the store is unavailable; it may be nil.
 	Peers PeerClient
 	// Prefixes are replicated; WatchPrefix is the prefix that covers all of them.
 	Prefixes    []string
@@ -93,6 +96,8 @@
 	InstanceName string
 	IsReader     func() bool
 	Broadcast    func(data []byte) bool
+	// MaxBroadcast is the length of the longest message that Broadcast sends, or 0 if there is no limit.
+	MaxBroadcast int
 	// ObserveCall, if set, is called after each call to the store.
 	ObserveCall func(kind string, took time.Duration, err error)
 
@@ -100,6 +105,13 @@
 	items map[string]Item
 	// version is the version of the copy; revision 0 means that there is none.
 	version Version
+	// versionChanged is closed when version changes.
+	versionChanged chan struct{}
+	// announced is the latest version that a message has stated, and announcedAt when it came.
+	announced   Version
+	announcedAt time.Time
+	history     history
+	encoded     encodedReply
 	// observedEra is the latest era that any response or message has stated.
 	observedEra int64
 	eraRaised   chan struct{}
@@ -111,6 +123,12 @@
 	// failures counts the failed calls since lastResponseAt.
 	failures int
 	messages chan receivedMessage
+	// done is closed when Run returns.
+	done chan struct{}
+	// encodeMu lets one reply be encoded at a time. announceMu is held from a change of the copy until it has been
+	// sent, so that no heartbeat announces it before.
+	encodeMu   sync.Mutex
+	announceMu sync.Mutex
 	// droppedMessages counts messages that did not fit into the queue.
 	droppedMessages atomic.Uint64
 	initOnce        sync.Once
@@ -138,6 +156,7 @@
 		r.items, r.readerExpiry = map[string]Item{}, map[string]time.Time{}
 		r.messages = make(chan receivedMessage, messageQueueSize)
 		r.eraRaised = make(chan struct{}, 1)
+		r.versionChanged, r.done = make(chan struct{}), make(chan struct{})
 	})
 }
 
@@ -168,6 +187,7 @@
 // Run replicates the store until ctx ends.
 func (r *Replicator) Run(ctx context.Context) error {
 	r.Init()
+	defer close(r.done)
 	r.needsFullRead, r.lastContactAt = true, time.Now()
 	for ctx.Err() == nil {
 		changed, err := r.syncOnce(ctx)
@@ -185,8 +205,8 @@
 	return ctx.Err()
 }
 
-// syncOnce does one full read, one watch or one wait for a message. It reports whether the copy may
-// have changed through a store call.
+// syncOnce does one full read, one watch, one wait for a message or one round of calls to other instances. It reports
+// whether the copy may have changed through a store call.
 func (r *Replicator) syncOnce(ctx context.Context) (bool, error) {
 	if r.isBehindEra() {
 		r.awaitRestoredCopy(ctx)
@@ -195,22 +215,47 @@
 	if r.needsFullRead {
 		return true, r.readAll(ctx)
 	}
-	startedAt := time.Now()
-	if !r.isReader() {
-		behind := r.drainMessages()
-		if !behind && r.reliesOnReaders(startedAt) {
-			behind = r.waitForMessage(ctx)
-		}
-		if !behind && r.reliesOnReaders(time.Now()) || r.isBehindEra() {
-			return false, nil
-		}
+	if r.listens() && r.followReaders(ctx) {
+		return false, nil
 	}
 	if ctx.Err() != nil {
 		return false, ctx.Err()
 	}
-	ctx, cancel := context.WithTimeout(ctx, WatchWait+watchMargin)
+	return r.watch(ctx)
+}
+
+// listens reports whether this instance gets changes from others: it is no reader, or a reader whose own calls
+// fail.
+func (r *Replicator) listens() bool {
+	if !r.isReader() {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failures >= failuresBeforeReport
+}
+
+// followReaders applies the messages of readers, and fetches the changes that they only announce. It returns
+// false if this instance has to read the store itself.
+func (r *Replicator) followReaders(ctx context.Context) bool {
+	r.drainMessages()
+	isReader := r.isReader()
+	if !isReader && !r.isBehind() && r.reliesOnReaders(time.Now()) {
+		r.waitForMessage(ctx)
+	}
+	if r.isBehind() && !r.isBehindEra() {
+		r.catchUp(ctx)
+	}
+	return !isReader && !r.isBehind() && r.reliesOnReaders(time.Now()) || r.isBehindEra()
+}
+
+// watch waits for changes in the store and reports whether there were any.
+func (r *Replicator) watch(ctx context.Context) (bool, error) {
+	startedAt := time.Now()
+	ctx, cancel := withStallTimeout(ctx, WatchWait+watchMargin)
 	defer cancel()
 	changes, err := r.Store.Watch(ctx, r.WatchPrefix, r.Revision(), WatchWait)
+	err = stallError(ctx, err)
 	r.observeCall("watch", startedAt, err)
 	if compacted := (*CompactedError)(nil); errors.As(err, &compacted) {
 		r.recordResponse(time.Now())
@@ -229,10 +274,11 @@
 		return false, &EraError{Expected: from.Era, Received: changes.Era}
 	}
 	update := r.beginUpdate(now, changes.version())
-	r.broadcastChanges(now, from, changes, r.applyChanges(&update, changes))
+	r.applyAndBroadcast(now, from, &update, changes)
 	if len(update.Changed)+len(update.Removed) > 0 || update.OutageEndedAt.Equal(now) {
 		r.Apply(now, update)
 	}
+	r.dropAnnouncement(startedAt)
 	r.endLag(now, update.Source)
 	return len(changes.Events) > 0, nil
 }
@@ -271,12 +317,20 @@
 			update.Removed = append(update.Removed, key)
 		}
 	}
-	if changes.version().After(r.version) {
-		r.version = changes.version()
-	}
+	r.advance(changes.version())
 	return replaced
 }
 
+// advance sets the version of the copy, unless it is a later one already; the caller holds mu.
+func (r *Replicator) advance(version Version) {
+	if !version.After(r.version) {
+		return
+	}
+	r.version = version
+	close(r.versionChanged)
+	r.versionChanged = make(chan struct{})
+}
+
 func (r *Replicator) isReplicated(key string) bool {
 	for _, prefix := range r.Prefixes {
 		if strings.HasPrefix(key, prefix) {
@@ -286,170 +340,6 @@
 	return false
 }
 
-// readAll replaces the copy with the present content of the store.
-//
-// Pages are not read at one revision, so the watch continues from the revision of the first one.
-func (r *Replicator) readAll(ctx context.Context) error {
-	items := map[string]Item{}
-	first := Version{}
-	for _, prefix := range r.Prefixes {
-		version, err := r.readPrefix(ctx, prefix, items)
-		if err != nil {
-			return err
-		}
-		if first.Revision != 0 && version.Era != first.Era {
-			return &EraError{Expected: first.Era, Received: version.Era}
-		}
-		if first.Revision == 0 || version.Revision < first.Revision {
-			first = version
-		}
-	}
-	now := time.Now()
-	from := r.Version()
-	if first.Era < from.Era {
-		return &EraError{Expected: from.Era, Received: first.Era}
-	}
-	r.confirmEra(first.Era)
-	restored := r.recordRestore(now, from, first)
-	update := r.beginUpdate(now, first)
-	update.Full, update.Restored = true, restored
-	r.broadcastRestore(now, from, first, r.replaceItems(&update, items))
-	r.needsFullRead = false
-	r.Apply(now, update)
-	r.endLag(now, update.Source)
-	return nil
-}
-
-func (r *Replicator) readPrefix(ctx context.Context, prefix string, items map[string]Item) (first Version, err error) {
-	after := ""
-	for range maxPages {
-		page, err := r.readPage(ctx, prefix, after)
-		if err != nil {
-			return Version{}, err
-		}
-		if first.Revision == 0 {
-			first = Version{Era: page.Era, Revision: page.Revision}
-		}
-		if page.Era != first.Era {
-			return Version{}, &EraError{Expected: first.Era, Received: page.Era}
-		}
-		for _, it := range page.Items {
-			items[it.Key] = it
-			after = it.Key
-		}
-		if !page.HasMore || len(page.Items) == 0 {
-			break
-		}
-	}
-	return first, nil
-}
-
-func (r *Replicator) readPage(ctx context.Context, prefix, after string) (Page, error) {
-	startedAt := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
-	defer cancel()
-	page, err := r.Store.Range(ctx, prefix, after)
-	r.observeCall("range", startedAt, err)
-	return page, err
-}
-
-// replaceItems makes items the copy and returns the former items. It keeps items that are newer in
-// the present copy: a copy from a peer may be newer than what was read.
-func (r *Replicator) replaceItems(update *Update, items map[string]Item) (former map[string]Item) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for key, old := range r.items {
-		if it, ok := items[key]; ok && old.version().After(it.version()) {
-			items[key] = old
-		}
-	}
-	former, r.items = r.items, items
-	if update.version().After(r.version) {
-		r.version = update.version()
-	}
-	for it := range maps.Values(items) {
-		update.Changed = append(update.Changed, it)
-	}
-	return former
-}
-
-// beginUpdate records a response of the store and returns an update for it.
-func (r *Replicator) beginUpdate(now time.Time, version Version) Update {
-	r.recordResponse(now)
-	return Update{Revision: version.Revision, Era: version.Era, Source: SourceStore, OutageEndedAt: r.recentOutageEnd(now)}
-}
-
-// recentOutageEnd returns when the store recovered, or the zero time if that was not recent.
-func (r *Replicator) recentOutageEnd(now time.Time) time.Time {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if now.Sub(r.outageEndedAt) >= outageReportWindow {
-		return time.Time{}
-	}
-	return r.outageEndedAt
-}
-
-// recordResponse records that the store responded, which may end an outage.
-func (r *Replicator) recordResponse(now time.Time) {
-	if r.storeUnavailable {
-		r.Log.Write(now, timeline.Event{Kind: "store_regained", Revision: r.Revision(), Inputs: []timeline.Input{{Name: "away_ms", Value: now.Sub(r.lastContactAt).Milliseconds()}}})
-	}
-	// An outage may end before a call fails late enough to set storeUnavailable.
-	outageEnded := r.storeUnavailable || !r.firstFailureAt.IsZero() && now.Sub(r.lastContactAt) >= outageAfter
-	firstFailureAt := r.firstFailureAt
-	r.storeUnavailable, r.firstFailureAt, r.lastContactAt = false, time.Time{}, now
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.lastResponseAt, r.failures = now, 0
-	if outageEnded {
-		r.outageEndedAt, r.outageBeganAt = now, firstFailureAt
-	}
-}
-
-// handleFailure records a failed call, fetches a copy from other instances if the store is
-// unavailable, and backs off.
-func (r *Replicator) handleFailure(ctx context.Context, now time.Time, err error) {
-	if r.firstFailureAt.IsZero() {
-		r.firstFailureAt = now
-	}
-	r.recordFailure(now)
-	if !r.storeUnavailable && now.Sub(r.lastContactAt) >= outageAfter {
-		r.storeUnavailable = true
-		r.Log.Write(now, timeline.Event{Kind: "store_lost", Revision: r.Revision(), Why: errorReason(err)})
-	}
-	if r.storeUnavailable || r.Revision() == 0 {
-		r.fetchFromPeers(ctx)
-	}
-	r.backoff = min(max(2*r.backoff, minBackoff), maxBackoff)
-	sleep(ctx, r.backoff/2+rand.N(r.backoff))
-}
-
-func (r *Replicator) fetchFromPeers(ctx context.Context) {
-	if r.Peers == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
-	defer cancel()
-	from := r.Version()
-	snapshot, source, ok := r.Peers.FetchSnapshotAfter(ctx, from)
-	if !ok || !snapshot.After(from) {
-		return
-	}
-	items := make(map[string]Item, len(snapshot.Items))
-	for _, it := range snapshot.Items {
-		items[it.Key] = it
-	}
-	now := time.Now()
-	r.ObserveEra(snapshot.Era)
-	restored := r.recordRestore(now, from, snapshot.Version)
-	update := Update{Full: true, Restored: restored, Revision: snapshot.Revision, Era: snapshot.Era, Source: source, OutageEndedAt: r.recentOutageEnd(now)}
-	r.replaceItems(&update, items)
-	r.Log.Write(now, timeline.Event{Kind: "copy_from_member", Member: source, Revision: snapshot.Revision})
-	r.endLag(now, source)
-	r.needsFullRead = false
-	r.Apply(now, update)
-}
-
 func (r *Replicator) observeCall(kind string, startedAt time.Time, err error) {
 	r.recordCall(time.Now(), kind, startedAt, err)
 	if r.ObserveCall != nil {
--- a/internal/feed/replicator_test.go
+++ b/internal/feed/replicator_test.go
@@ -305,6 +305,10 @@
 	return p.snapshot, "other", p.snapshot.After(after)
 }
 
+func (p *peerClientStub) FetchChanges(context.Context, ChangesRequest, string) (data []byte, from string, ok bool) {
+	return nil, "", false
+}
+
 // Guards against an instance that has no table, or a stale one, while it alone cannot reach the
 // store, and against one that returns to an older copy.
 func TestFetchesFromPeersWhileStoreIsUnavailable(t *testing.T) {
