Do not state that a route or key does not exist with an outdated table

Cause: no_route and key_unknown were stated without a look at how old the table is. Class: a refusal states more than the instance knows. TestOutdatedTableDoesNotDenyRoutesAndKeys: without the change its first two cases and the two with a missing table end with 404 or 401. Change: such a request waits up to 0.5 s, or an eighth of its time, while another instance is known to have a later copy. If it does not arrive, or the store has confirmed nothing for 3 s, the request is refused with 503 table_outdated as not run, and may be sent to another instance at once. Result: that test, TestCurrentCopy and the packages' tests for refusals pass. A request that is in the table is served as before, without a wait. Ruled out: to refuse all requests of an instance that is behind: most routes are in both tables.

--- a/internal/feed/broadcast.go
+++ b/internal/feed/broadcast.go
@@ -175,7 +175,7 @@
 	if message.Era > version.Era {
 		if version.Revision != 0 && r.applyRestore(message, &update) {
 			update.OutageEndedAt = r.recentOutageEnd(message.receivedAt)
-			r.Apply(time.Now(), update)
+			r.apply(time.Now(), update)
 			return lagNone
 		}
 		return lagRestored
@@ -198,7 +198,7 @@
 	if !r.applyChanged(&message.ChangeMessage, &update) {
 		return lagUndecodable
 	}
-	r.Apply(time.Now(), update)
+	r.apply(time.Now(), update)
 	return lagNone
 }
 
--- a/internal/feed/catch_up.go
+++ b/internal/feed/catch_up.go
@@ -75,22 +75,40 @@
 	}
 }
 
-// AwaitCurrent waits until no other instance is known to have a later copy and the store has recently
-// confirmed this one, and reports whether that was so before ctx ended.
+// AwaitCurrent reports whether what Apply has received is the latest known state of the store. It waits while another
+// instance is known to have a later one, and returns false if ctx ends before or the store has not confirmed the copy
+// recently.
 func (r *Replicator) AwaitCurrent(ctx context.Context) bool {
-	for !r.isCurrent(time.Now()) {
+	for {
+		current, confirmed := r.currency(time.Now())
+		if current || !confirmed {
+			return current
+		}
 		sleep(ctx, currentPollInterval)
 		if ctx.Err() != nil {
 			return false
 		}
 	}
-	return true
 }
 
-func (r *Replicator) isCurrent(now time.Time) bool {
+func (r *Replicator) currency(now time.Time) (current, confirmed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.announced.After(r.version) && r.observedEra <= r.version.Era && now.Sub(r.lastResponseAt) < currentFor
+	confirmed = now.Sub(r.lastResponseAt) < currentFor
+	return confirmed && !r.announced.After(r.applied) && !r.version.After(r.applied) && r.observedEra <= r.applied.Era, confirmed
+}
+
+// apply passes an update on.
+func (r *Replicator) apply(now time.Time, update Update) {
+	r.Apply(now, update)
+	r.markApplied()
+}
+
+// markApplied records that Apply has received all of the copy.
+func (r *Replicator) markApplied() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.applied = r.version
 }
 
 // catchUp gets what the copy lacks from other instances: the changes or, if these are not known any more or the store was
@@ -178,7 +196,7 @@
 	if r.needsFullRead || message.Era != version.Era || message.FromEra != version.Era || message.FromRevision > version.Revision || !r.applyChanged(&message, &update) {
 		return false
 	}
-	r.Apply(now, update)
+	r.apply(now, update)
 	r.endLag(now, from)
 	return true
 }
--- a/internal/feed/full_read.go
+++ b/internal/feed/full_read.go
@@ -36,7 +36,7 @@
 	update.Full, update.Restored = true, restored
 	r.broadcastRestore(now, from, first, r.replaceItems(&update, items))
 	r.needsFullRead = false
-	r.Apply(now, update)
+	r.apply(now, update)
 	r.dropAnnouncement(startedAt)
 	r.endLag(now, update.Source)
 	return nil
--- a/internal/feed/outage.go
+++ b/internal/feed/outage.go
@@ -88,5 +88,5 @@
 	r.Log.Write(now, timeline.Event{Kind: "copy_from_member", Member: source, Revision: snapshot.Revision})
 	r.endLag(now, source)
 	r.needsFullRead = false
-	r.Apply(now, update)
+	r.apply(now, update)
 }
--- a/internal/feed/replicator.go
+++ b/internal/feed/replicator.go
@@ -105,6 +105,8 @@
 	items map[string]Item
 	// version is the version of the copy; revision 0 means that there is none.
 	version Version
+	// applied is the version of the copy that Apply has received.
+	applied Version
 	// versionChanged is closed when version changes.
 	versionChanged chan struct{}
 	// announced is the latest version that a message has stated, and announcedAt when it came.
@@ -276,7 +278,9 @@
 	update := r.beginUpdate(now, changes.version())
 	r.applyAndBroadcast(now, from, &update, changes)
 	if len(update.Changed)+len(update.Removed) > 0 || update.OutageEndedAt.Equal(now) {
-		r.Apply(now, update)
+		r.apply(now, update)
+	} else {
+		r.markApplied()
 	}
 	r.dropAnnouncement(startedAt)
 	r.endLag(now, update.Source)
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -19,6 +19,8 @@
 	codeNoCatalogue   = "no_catalogue"
 	codeNoRoute       = "no_route"
 	codeKeyUnknown    = "key_unknown"
+	// codeTableOutdated says that the request is not in the table, which may not be the latest one.
+	codeTableOutdated = "table_outdated"
 	codeBodyTooLarge  = "body_too_large"
 	codeBodyMalformed = "body_malformed"
 	codeNoTarget      = "no_target"
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -123,14 +123,18 @@
 	if !ok {
 		return notRunRefusal(codeNoCatalogue, startupRetryAfter(req.Timeout))
 	}
-	req.table = table
-	if req.route, ok = table.Match(req.http.Host, requestPath(req.http)); !ok {
-		return &Refusal{Status: http.StatusNotFound, Code: codeNoRoute, Outcome: generation.NotRun}
-	}
-	if table.RequiresKey(req.route) {
-		if req.workspace, ok = table.WorkspaceForKey(req.APIKey); !ok {
-			return &Refusal{Status: http.StatusUnauthorized, Code: codeKeyUnknown, Outcome: generation.NotRun}
+	if refusal := req.lookUp(table); refusal != nil {
+		if !r.awaitCurrentTable(req) {
+			return notRunRefusal(codeTableOutdated, startupRetryAfter(req.Timeout))
 		}
+		latest, _ := TableKey.Get(r.Board)
+		if latest == table {
+			return refusal
+		}
+		if refusal = req.lookUp(latest); refusal != nil {
+			return refusal
+		}
+		now = time.Now()
 	}
 	req.poolName = req.route.PickPool(xxhash.Sum64String(req.ID))
 	if req.pool = r.Targets.pool(req.poolName); req.pool == nil {
@@ -144,6 +148,39 @@
 	return nil
 }
 
+// lookUp finds the route and the workspace of a request in a table, or refuses it.
+func (req *callerRequest) lookUp(table *route.Table) *Refusal {
+	var ok bool
+	req.table = table
+	if req.route, ok = table.Match(req.http.Host, requestPath(req.http)); !ok {
+		return &Refusal{Status: http.StatusNotFound, Code: codeNoRoute, Outcome: generation.NotRun}
+	}
+	if table.RequiresKey(req.route) {
+		if req.workspace, ok = table.WorkspaceForKey(req.APIKey); !ok {
+			return &Refusal{Status: http.StatusUnauthorized, Code: codeKeyUnknown, Outcome: generation.NotRun}
+		}
+	}
+	return nil
+}
+
+// maxTableWait bounds how long a request waits for a later table. It ends before callers count the request as not read.
+const maxTableWait = 500 * time.Millisecond
+
+// awaitCurrentTable reports whether the table is the latest one that is known: an instance that lacks a later one can't
+// state that a route or a key does not exist.
+func (r *Relay) awaitCurrentTable(req *callerRequest) bool {
+	if r.AwaitCurrentTable == nil {
+		return true
+	}
+	wait := maxTableWait
+	if req.Timeout > 0 {
+		wait = min(wait, req.Timeout/8)
+	}
+	ctx, cancel := context.WithTimeout(req.http.Context(), wait)
+	defer cancel()
+	return r.AwaitCurrentTable(ctx)
+}
+
 // mayOutlastGrace reports whether a request might not end before this instance stops.
 func (r *Relay) mayOutlastGrace(req *callerRequest) bool {
 	stoppingSince := r.stoppingSince.Load()
