Repeat changes of the configuration in heartbeats

Cause: to get what it had missed an instance had to make a call. Class: recovery depends on a path that the disturbance has taken away, though another one works. Change: a reader repeats its changes of the operators' keys after 0.4 s and then at up to 3 s intervals, for 30 s: all of them as a chain of differences, in a heartbeat. They are applied key by key, beside a call that is waiting, and do not advance the copy's version, so that the rest is still fetched. A key that the copy may know to be removed is left alone. Ruled out: to repeat everything: the entries of engines do not fit; they are fetched.

--- a/internal/feed/broadcast.go
+++ b/internal/feed/broadcast.go
@@ -39,6 +39,8 @@
 	// Complete is set if Changed is the whole copy; such a message is sent as a reply only.
 	Complete bool         `json:"complete,omitempty"`
 	Changed  []changeItem `json:"changed,omitempty"`
+	// Repeated holds recent changes, oldest first, that may be applied whatever else the copy lacks.
+	Repeated []changeItem `json:"repeated,omitempty"`
 	// ResponseAgeMillis is the age of the store's last response.
 	ResponseAgeMillis int64 `json:"answered_ms"`
 	// OutageEndedMillis is the time since the store recovered from an outage, or 0 if it was not
@@ -83,6 +85,7 @@
 	if json.Unmarshal(decoded, &message) != nil {
 		return
 	}
+	r.applyRepeated(now, &message)
 	select {
 	case r.messages <- receivedMessage{ChangeMessage: message, receivedAt: now}:
 	default:
@@ -173,6 +176,8 @@
 	}
 	update := Update{Revision: message.ToRevision, Era: message.Era, Source: message.Reader}
 	if message.Era > version.Era {
+		r.applyMu.Lock()
+		defer r.applyMu.Unlock()
 		if version.Revision != 0 && r.applyRestore(message, &update) {
 			update.OutageEndedAt = r.recentOutageEnd(message.receivedAt)
 			r.apply(time.Now(), update)
@@ -195,6 +200,8 @@
 	case len(message.Changed) == 0:
 		return lagAnnounced
 	}
+	r.applyMu.Lock()
+	defer r.applyMu.Unlock()
 	if !r.applyChanged(&message.ChangeMessage, &update) {
 		return lagUndecodable
 	}
--- a/internal/feed/catch_up.go
+++ b/internal/feed/catch_up.go
@@ -193,7 +193,12 @@
 	}
 	update := Update{Revision: message.ToRevision, Era: message.Era, Source: from, OutageEndedAt: r.recentOutageEnd(now)}
 	version := r.Version()
-	if r.needsFullRead || message.Era != version.Era || message.FromEra != version.Era || message.FromRevision > version.Revision || !r.applyChanged(&message, &update) {
+	if r.needsFullRead || message.Era != version.Era || message.FromEra != version.Era || message.FromRevision > version.Revision {
+		return false
+	}
+	r.applyMu.Lock()
+	defer r.applyMu.Unlock()
+	if !r.applyChanged(&message, &update) {
 		return false
 	}
 	r.apply(now, update)
--- a/internal/feed/full_read.go
+++ b/internal/feed/full_read.go
@@ -34,6 +34,8 @@
 	restored := r.recordRestore(now, from, first)
 	update := r.beginUpdate(now, first)
 	update.Full, update.Restored = true, restored
+	r.applyMu.Lock()
+	defer r.applyMu.Unlock()
 	r.broadcastRestore(now, from, first, r.replaceItems(&update, items))
 	r.needsFullRead = false
 	r.apply(now, update)
--- a/internal/feed/outage.go
+++ b/internal/feed/outage.go
@@ -84,6 +84,8 @@
 	r.ObserveEra(snapshot.Era)
 	restored := r.recordRestore(now, from, snapshot.Version)
 	update := Update{Full: true, Restored: restored, Revision: snapshot.Revision, Era: snapshot.Era, Source: source, OutageEndedAt: r.recentOutageEnd(now)}
+	r.applyMu.Lock()
+	defer r.applyMu.Unlock()
 	r.replaceItems(&update, items)
 	r.Log.Write(now, timeline.Event{Kind: "copy_from_member", Member: source, Revision: snapshot.Revision})
 	r.endLag(now, source)
--- a/internal/feed/replicator.go
+++ b/internal/feed/replicator.go
@@ -90,6 +90,9 @@
 	// Apply receives each update of the copy; it is called by one goroutine at a time.
 	Apply func(now time.Time, update Update)
 	Log   *timeline.Writer
+	// RepeatedPrefix is the prefix of keys whose changes a reader repeats in later heartbeats, so that an instance that missed them
+	// gets them without a call of its own. If it is empty, none are.
+	RepeatedPrefix string
 	// InstanceName names this instance. IsReader reports whether it reads the store for others, and
 	// Broadcast sends them a message and returns false if it is too long; both may be nil, and then
 	// each instance reads the store itself.
@@ -113,6 +116,7 @@
 	announced   Version
 	announcedAt time.Time
 	history     history
+	repeater    repeater
 	encoded     encodedReply
 	// observedEra is the latest era that any response or message has stated.
 	observedEra int64
@@ -131,6 +135,8 @@
 	// sent, so that no heartbeat announces it before.
 	encodeMu   sync.Mutex
 	announceMu sync.Mutex
+	// applyMu is held from a change of the copy until Apply has received it.
+	applyMu sync.Mutex
 	// droppedMessages counts messages that did not fit into the queue.
 	droppedMessages atomic.Uint64
 	initOnce        sync.Once
@@ -276,6 +282,8 @@
 		return false, &EraError{Expected: from.Era, Received: changes.Era}
 	}
 	update := r.beginUpdate(now, changes.version())
+	r.applyMu.Lock()
+	defer r.applyMu.Unlock()
 	r.applyAndBroadcast(now, from, &update, changes)
 	if len(update.Changed)+len(update.Removed) > 0 || update.OutageEndedAt.Equal(now) {
 		r.apply(now, update)
--- a/internal/feed/send.go
+++ b/internal/feed/send.go
@@ -53,6 +53,7 @@
 	}
 	r.mu.Lock()
 	r.history.add(from, changes.version(), encoded)
+	r.repeater.add(now, r.RepeatedPrefix, encoded)
 	r.mu.Unlock()
 	message := r.newHeartbeat(now)
 	message.FromRevision, message.FromEra, message.ToRevision, message.Era = from.Revision, from.Era, changes.Revision, changes.Era
@@ -193,7 +194,18 @@
 func (r *Replicator) sendHeartbeat(now time.Time) {
 	r.announceMu.Lock()
 	defer r.announceMu.Unlock()
-	if message := r.newHeartbeat(now); message.ToRevision > 0 && message.ResponseAgeMillis < maxResponseAge.Milliseconds() {
-		r.announce(message)
+	message := r.newHeartbeat(now)
+	if message.ToRevision == 0 || message.ResponseAgeMillis >= maxResponseAge.Milliseconds() {
+		return
+	}
+	r.mu.Lock()
+	message.Repeated = r.repeater.due(now, message.Era)
+	r.mu.Unlock()
+	for len(message.Repeated) > 0 {
+		if data, ok := encodeMessage(&message); ok && (r.MaxBroadcast == 0 || len(data) <= r.MaxBroadcast) {
+			break
+		}
+		message.Repeated = message.Repeated[1:]
 	}
+	r.announce(message)
 }
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -16,9 +16,9 @@
 
 // The codes of responses that the instance itself generates.
 const (
-	codeNoCatalogue   = "no_catalogue"
-	codeNoRoute       = "no_route"
-	codeKeyUnknown    = "key_unknown"
+	codeNoCatalogue = "no_catalogue"
+	codeNoRoute     = "no_route"
+	codeKeyUnknown  = "key_unknown"
 	// codeTableOutdated says that the request is not in the table, which may not be the latest one.
 	codeTableOutdated = "table_outdated"
 	codeBodyTooLarge  = "body_too_large"
