Find a new catalogue while the service turns away its watchers

Cause: two members watch the catalogue for all. If the service turns away just these, no other one asks, and a new revision comes into force nowhere. The same class: one way for news, which the members do not leave. Evidence: TestCatalogueChangesWhileItsWatchersAreTurnedAway (4 instances) failed before: not in force after 20 s. Change: once a second a random one of all instances looks at the catalogue; what it finds travels by heartbeats as before. Ruled out: that large documents are slow here: they travel as differences between peers, one fetch each, and not from the service.

--- a/internal/server/catalogue.go
+++ b/internal/server/catalogue.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -17,6 +18,11 @@
 	// maxWatchRetry limits the load on a service that recovers from an outage.
 	maxWatchRetry = 5 * time.Second
 	fetchTimeout  = 2 * time.Second
+	// lookInterval is the mean interval of the looks that all instances together take at the catalogue in the service, besides
+	// those that watch it: the service may turn these away and not the others.
+	lookInterval = time.Second
+	// lookWait bounds the wait of such a look for a change.
+	lookWait = time.Millisecond
 	// peerCatalogueWait is how long a restarted instance waits for the catalogue of a peer it reached.
 	peerCatalogueWait = time.Second
 )
@@ -53,20 +59,21 @@
 	}
 }
 
-// watchCatalogue watches the catalogue in the service while the instance holds that job.
+// watchCatalogue watches the catalogue in the service while the instance holds that job, and looks at it now and then
+// while it does not.
 func (s *Server) watchCatalogue(ctx context.Context) {
 	var version int64
-	pause := minWatchRetry
+	pause, nextLook := minWatchRetry, time.Now().Add(jitter(lookInterval))
 	for ctx.Err() == nil {
 		changed := Members.Changed(s.Board)
+		wait := watchTimeout
 		if !s.holdsJob(CatalogueKey) {
-			select {
-			case <-changed:
-			case <-ctx.Done():
+			if !s.waitForLook(ctx, &nextLook, changed) {
+				continue
 			}
-			continue
+			wait = lookWait
 		}
-		v, err := s.Store.Watch(ctx, CatalogueKey, version, watchTimeout)
+		v, err := s.Store.Watch(ctx, CatalogueKey, version, wait)
 		if err != nil {
 			_ = sleep(ctx, jitter(pause))
 			pause = min(2*pause, maxWatchRetry)
@@ -81,6 +88,22 @@
 	}
 }
 
+// waitForLook waits until a time at which one of all instances looks at the catalogue, and reports whether it is this one. It
+// returns early if changed is closed or ctx ends.
+func (s *Server) waitForLook(ctx context.Context, at *time.Time, changed <-chan struct{}) bool {
+	t := time.NewTimer(time.Until(*at))
+	defer t.Stop()
+	select {
+	case now := <-t.C:
+		*at = now.Add(jitter(lookInterval))
+		view, _ := Members.Get(s.Board)
+		return rand.IntN(max(len(view.Live()), 1)) == 0
+	case <-changed:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // fetchRevisions fetches newer revisions from the peers that announced them.
 func (s *Server) fetchRevisions(ctx context.Context) {
 	for {
