--- a/internal/deployment/catalogue_watchers_test.go
+++ b/internal/deployment/catalogue_watchers_test.go
@@ -43,6 +43,7 @@
 	var watchers [n]*refusedWatcher
 	d, err := Start(context.Background(), Config{
 		Instances: n, EngineTemplate: DefaultEngine(), Limits: server.DefaultLimits(),
+		PrepareInstance: func(in *Instance) { in.CatalogueLookInterval = 200 * time.Millisecond },
 		StoreFor: func(i int, c *platform.Client) (server.Store, server.Leaser) {
 			watchers[i] = &refusedWatcher{Client: c, refused: &refused[i]}
 			return watchers[i], c
--- a/internal/server/catalogue.go
+++ b/internal/server/catalogue.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -18,9 +19,9 @@
 	// maxWatchRetry limits the load on a service that recovers from an outage.
 	maxWatchRetry = 5 * time.Second
 	fetchTimeout  = 2 * time.Second
-	// lookInterval is the mean interval of the looks that all instances together take at the catalogue in the service, besides
-	// those that watch it: the service may turn these away and not the others.
-	lookInterval = time.Second
+	// DefaultCatalogueLookInterval is the default of Server.CatalogueLookInterval: a look after a change returns the whole document, which
+	// is 0.26 KB/s for each instance at the design scale.
+	DefaultCatalogueLookInterval = 5 * time.Second
 	// lookWait bounds the wait of such a look for a change.
 	lookWait = time.Millisecond
 	// peerCatalogueWait is how long a restarted instance waits for the catalogue of a peer it reached.
@@ -63,7 +64,7 @@
 // while it does not.
 func (s *Server) watchCatalogue(ctx context.Context) {
 	var version int64
-	pause, nextLook := minWatchRetry, time.Now().Add(jitter(lookInterval))
+	pause, nextLook := minWatchRetry, time.Now().Add(jitter(s.lookInterval()))
 	for ctx.Err() == nil {
 		changed := Members.Changed(s.Board)
 		wait := watchTimeout
@@ -88,6 +89,10 @@
 	}
 }
 
+func (s *Server) lookInterval() time.Duration {
+	return cmp.Or(s.CatalogueLookInterval, DefaultCatalogueLookInterval)
+}
+
 // waitForLook waits until a time at which one of all instances looks at the catalogue, and reports whether it is this one. It
 // returns early if changed is closed or ctx ends.
 func (s *Server) waitForLook(ctx context.Context, at *time.Time, changed <-chan struct{}) bool {
@@ -95,7 +100,7 @@
 	defer t.Stop()
 	select {
 	case now := <-t.C:
-		*at = now.Add(jitter(lookInterval))
+		*at = now.Add(jitter(s.lookInterval()))
 		view, _ := Members.Get(s.Board)
 		return rand.IntN(max(len(view.Live()), 1)) == 0
 	case <-changed:
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -43,11 +43,14 @@
 	// Listener accepts callers' connections.
 	Listener net.Listener
 	Store    Store
-	Signer   generation.CursorSigner
-	Board    *blackboard.Board
-	Events   *timeline.Writer
-	Log      zerolog.Logger
-	Limits   Limits
+	// CatalogueLookInterval is the mean interval of the looks that all instances together take at the catalogue in the
+	// service, besides those that watch it: the service may turn these away and not the others. 0 means the default.
+	CatalogueLookInterval time.Duration
+	Signer                generation.CursorSigner
+	Board                 *blackboard.Board
+	Events                *timeline.Writer
+	Log                   zerolog.Logger
+	Limits                Limits
 	// Peers sends RPCs to other instances; nil means that there are none.
 	Peers Peers
 	// Versions runs the instance's part in version changes; nil means that results are not counted.
