Keep the history of changes when a watch brings none

Change: only changes that an instance has read itself, and does not send, empty it. Replies with the complete copy are shared whatever the asking version. Result: TestHistoryHasNoGaps has the case; it failed before by reading, not by a run. Ruled out: a wrong copy: what is not known is never answered with a gap.

--- a/internal/feed/catch_up.go
+++ b/internal/feed/catch_up.go
@@ -269,7 +269,7 @@
 	if !version.After(request.after()) {
 		return nil
 	}
-	if cached.version == version && cached.after == request.after() && cached.complete == request.Complete {
+	if cached.version == version && cached.complete == request.Complete && (request.Complete || cached.after == request.after()) {
 		return cached.data
 	}
 	message, ok := r.messageFor(request)
--- a/internal/feed/large_change_test.go
+++ b/internal/feed/large_change_test.go
@@ -408,6 +408,14 @@
 	require.False(t, ok)
 	_, ok = h.after(Version{Revision: 20})
 	require.True(t, ok)
+
+	reader := &Replicator{Prefixes: []string{""}, IsReader: func() bool { return true }, Broadcast: func([]byte) bool { return true }}
+	reader.Init()
+	for _, changes := range []Changes{{Revision: 5, Events: []Event{{Item: Item{Key: "a", Value: []byte("x"), Revision: 5}}}}, {Revision: 5}} {
+		reader.applyAndBroadcast(time.Now(), reader.Version(), &Update{}, changes)
+	}
+	_, ok = reader.history.after(Version{})
+	require.True(t, ok, "a watch without changes keeps the history")
 }
 
 // Guards against an instance that gets datagrams again, but whose own calls still fail, and that never gets the changes of
--- a/internal/feed/send.go
+++ b/internal/feed/send.go
@@ -39,7 +39,11 @@
 	r.announceMu.Lock()
 	defer r.announceMu.Unlock()
 	replaced := r.applyChanges(update, changes)
-	if r.Broadcast == nil || !r.isReader() || !changes.version().After(from) {
+	if !changes.version().After(from) {
+		return
+	}
+	if r.Broadcast == nil || !r.isReader() {
+		// What others might fetch is encoded by readers only.
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.history.reset()
