Ask the store soon when no other instance responds

Cause: an instance that hears of changes, and whose calls to others have no answer, asked them for 2 s before the store; an engine that leaves has to be known within 2 s (bounds.drainMs of the small deployments). Change: an instance that lacks the changes itself answers after 0.3 s that it waits, and is asked again. The store is asked after 1 s without any answer, or 3 s in all.

--- a/internal/feed/catch_up.go
+++ b/internal/feed/catch_up.go
@@ -10,13 +10,17 @@
 )
 
 const (
-	// sourceWait is how long another instance may hold a call until it has the changes itself.
-	sourceWait = time.Second
-	// sourceStagger is the time after which a further source is asked although the one before may still respond.
-	sourceStagger = 500 * time.Millisecond
-	// catchUpTimeout bounds one round of calls to sources; a change has to be in force within 4 s, in which the store is
-	// asked as well.
-	catchUpTimeout = 2 * time.Second
+	// sourceWait is how long another instance may hold a call until it has the changes itself; then it answers that it is waiting.
+	sourceWait = 300 * time.Millisecond
+	// silentSource is the time after which a further source is asked if none has responded, and waitingSource that after which one
+	// is asked although the others wait for the changes themselves.
+	silentSource  = 400 * time.Millisecond
+	waitingSource = 800 * time.Millisecond
+	// silentSources is the time without a response after which the store is asked: an engine that leaves has to be known
+	// within 2 s.
+	silentSources = time.Second
+	// catchUpTimeout bounds one round of calls to sources; a change of the configuration has to be in force within 4 s.
+	catchUpTimeout = 3 * time.Second
 	// maxReplySize bounds a decoded reply with changes or a complete copy.
 	maxReplySize = 8 << 20
 	// currentFor is how long a copy counts as current without a response of the store to this instance or to a reader;
@@ -42,11 +46,15 @@
 func (c *ChangesRequest) until() Version { return Version{Era: c.UntilEra, Revision: c.UntilRevision} }
 
 // ChangesReply holds an encoded ChangeMessage, or is empty if the instance does not have the changes.
-type ChangesReply struct{ Data []byte }
+type ChangesReply struct {
+	Data []byte
+	// Waiting is set if the instance lacks the changes as well, and expects to get them.
+	Waiting bool
+}
 
 // Changes returns the changes of the copy after a version.
 func (s *SnapshotService) Changes(in *ChangesRequest, out *ChangesReply) error {
-	out.Data = s.Replicator.changesFor(in)
+	*out = s.Replicator.changesFor(in)
 	return nil
 }
 
@@ -134,7 +142,7 @@
 			Kind: "changes_not_fetched", Member: from, Revision: request.AfterRevision, Decision: map[bool]string{true: "complete_copy", false: "changes"}[complete],
 			Inputs: []timeline.Input{{Name: "announced_revision", Value: request.UntilRevision}, {Name: "took_ms", Value: took.Milliseconds()}},
 		})
-		if took >= catchUpTimeout {
+		if took >= silentSources {
 			return
 		}
 	}
@@ -240,9 +248,8 @@
 	return ok && it.Era == change.Era && it.Revision >= change.Revision
 }
 
-// changesFor returns an encoded message for another instance once the copy has reached the version that it asks for,
-// or what it has after a while; the result is empty if that is nothing.
-func (r *Replicator) changesFor(request *ChangesRequest) []byte {
+// changesFor returns an encoded message for another instance once the copy has reached the version that it asks for.
+func (r *Replicator) changesFor(request *ChangesRequest) ChangesReply {
 	t := time.NewTimer(sourceWait)
 	defer t.Stop()
 	for {
@@ -250,16 +257,20 @@
 		version, changed := r.version, r.versionChanged
 		r.mu.Unlock()
 		if !request.until().After(version) {
-			break
+			return ChangesReply{Data: r.encodedChanges(request)}
 		}
 		select {
 		case <-changed:
-			continue
 		case <-t.C:
+			return ChangesReply{Waiting: true}
 		case <-r.done:
+			return ChangesReply{}
 		}
-		break
 	}
+}
+
+// encodedChanges returns an encoded message with the changes after a version, or nil if there are none or they are not known.
+func (r *Replicator) encodedChanges(request *ChangesRequest) []byte {
 	r.encodeMu.Lock()
 	defer r.encodeMu.Unlock()
 	r.mu.Lock()
--- a/internal/feed/era_test.go
+++ b/internal/feed/era_test.go
@@ -350,6 +350,6 @@
 }
 
 func (p *replicatorPeer) FetchChanges(_ context.Context, request ChangesRequest, _ string) (data []byte, from string, ok bool) {
-	data = p.replicator.changesFor(&request)
+	data = p.replicator.changesFor(&request).Data
 	return data, "a", len(data) > 0
 }
--- a/internal/feed/large_change_test.go
+++ b/internal/feed/large_change_test.go
@@ -475,3 +475,16 @@
 	require.Equal(t, "a/kept", got[0].Changed[0].Key)
 	require.EqualValues(t, 10, r.Revision())
 }
+
+// Guards against an engine that leaves and is not known to for over 2 s at an instance that hears of changes, but reaches no other
+// instance.
+func TestInstanceWithoutPeersReadsTheStoreInTime(t *testing.T) {
+	f := startFleet(t, 12, routeTable(20))
+	in := f.find(false)
+	in.mute.Store(true)
+	for i := range 3 {
+		table := fmt.Sprint(i) + randomText(8<<10)
+		f.store.put("operators/table", table)
+		f.requireTable(t, table, 2*time.Second)
+	}
+}
--- a/internal/feed/membership.go
+++ b/internal/feed/membership.go
@@ -288,41 +288,47 @@
 	})
 }
 
+// sourceReply is the reply of a source to a request for changes.
+type sourceReply struct {
+	ChangesReply
+	from netip.AddrPort
+}
+
 // FetchChanges asks the sources of this instance for changes, a further one when one does not have them or takes long.
 func (m *Membership) FetchChanges(ctx context.Context, request ChangesRequest, reader string) (data []byte, from string, ok bool) {
 	sources := m.sources(reader)
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	type reply struct {
-		data []byte
-		from netip.AddrPort
-	}
-	replies := make(chan reply, len(sources))
-	next := time.NewTimer(0)
+	replies := make(chan sourceReply, len(sources))
+	next, silent := time.NewTimer(0), time.NewTimer(silentSources)
 	defer next.Stop()
+	defer silent.Stop()
+	askedAt := time.Now()
 	for pending := 0; pending > 0 || len(sources) > 0; {
 		select {
-		case <-next.C:
+		case now := <-next.C:
 			if len(sources) == 0 {
 				continue
 			}
-			to := sources[0]
+			go m.askSource(ctx, sources[0], &request, replies)
 			sources = sources[1:]
 			pending++
-			go func() {
-				out := ChangesReply{}
-				if m.Caller.Call(ctx, to, "feed.Changes", &request, &out) != nil {
-					out.Data = nil
-				}
-				replies <- reply{data: out.Data, from: to}
-			}()
-			next.Reset(sourceStagger)
+			askedAt = now
+			next.Reset(silentSource)
 		case r := <-replies:
-			if len(r.data) > 0 {
-				return r.data, r.from.String(), true
+			switch {
+			case len(r.Data) > 0:
+				return r.Data, r.from.String(), true
+			case r.Waiting:
+				silent.Reset(silentSources)
+				next.Reset(max(time.Until(askedAt.Add(waitingSource)), 0))
+				go m.askSource(ctx, r.from, &request, replies)
+			default:
+				pending--
+				next.Reset(0)
 			}
-			pending--
-			next.Reset(0)
+		case <-silent.C:
+			return nil, "", false
 		case <-ctx.Done():
 			return nil, "", false
 		}
@@ -330,6 +336,14 @@
 	return nil, "", false
 }
 
+func (m *Membership) askSource(ctx context.Context, to netip.AddrPort, request *ChangesRequest, replies chan<- sourceReply) {
+	out := ChangesReply{}
+	if m.Caller.Call(ctx, to, "feed.Changes", request, &out) != nil {
+		out = ChangesReply{}
+	}
+	replies <- sourceReply{ChangesReply: out, from: to}
+}
+
 type snapshotReply struct {
 	snapshot Snapshot
 	from     netip.AddrPort
