Test large changes in simulated time

All instances are one process there: when it gets too little processor time, sources answer later than the 1 s after which the store is asked. The check of the calls was decided by the machine. Change: these tests run in simulated time (testing/synctest); datagrams arrive when their bytes have passed the link, instead of delaying the sender. The sizes, the 4 s and the 20 calls are as before. Ruled out: that the product is slow: the time that passes there is that of links and pauses only.

--- a/internal/feed/large_change_test.go
+++ b/internal/feed/large_change_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -31,11 +32,7 @@
 // carry waits until n bytes have passed, and returns false if ctx ends first.
 func (l *wire) carry(ctx context.Context, n int) bool {
 	for ; n > 0 && ctx.Err() == nil; n -= wireChunk {
-		l.mu.Lock()
-		l.freeAt = maxTime(l.freeAt, time.Now()).Add(time.Duration(float64(min(n, wireChunk)) * 8 / l.bitsPerSecond * float64(time.Second)))
-		until := l.freeAt
-		l.mu.Unlock()
-		if wait := time.Until(until); wait > time.Millisecond {
+		if wait := time.Until(l.passes(min(n, wireChunk))); wait > time.Millisecond {
 			sleep(ctx, wait)
 		}
 		ReportProgress(ctx)
@@ -43,6 +40,14 @@
 	return ctx.Err() == nil
 }
 
+// passes returns when n bytes that are sent now have passed.
+func (l *wire) passes(n int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.freeAt = maxTime(l.freeAt, time.Now()).Add(time.Duration(float64(n) * 8 / l.bitsPerSecond * float64(time.Second)))
+	return l.freeAt
+}
+
 // wireChunk is what one transfer may send before others on the same link have their turn.
 const wireChunk = 32 << 10
 
@@ -53,6 +58,12 @@
 	return b
 }
 
+// runFleetTest runs a test in simulated time, so that its verdict does not depend on the load of the machine that plays all instances.
+func runFleetTest(t *testing.T, name string, test func(t *testing.T)) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) { synctest.Test(t, test) })
+}
+
 // testInstance is an instance of a testFleet, which takes its part of the store and of the network.
 type testInstance struct {
 	fleet      *testFleet
@@ -158,10 +169,11 @@
 		if other == in {
 			continue
 		}
-		in.wire.carry(context.Background(), len(data))
-		if !other.deaf.Load() {
-			other.replicator.HandleMessage(time.Now(), data)
-		}
+		time.AfterFunc(time.Until(in.wire.passes(len(data))), func() {
+			if !other.deaf.Load() {
+				other.replicator.HandleMessage(time.Now(), data)
+			}
+		})
 	}
 	return true
 }
@@ -258,7 +270,7 @@
 		if test.instances > largestFleet {
 			continue
 		}
-		t.Run(fmt.Sprintf("%d instances %d to %d routes", test.instances, test.from, test.to), func(t *testing.T) {
+		runFleetTest(t, fmt.Sprintf("%d instances %d to %d routes", test.instances, test.from, test.to), func(t *testing.T) {
 			f := startFleet(t, test.instances, routeTable(test.from))
 			before := f.calls()
 			table := routeTable(test.to)
@@ -334,7 +346,7 @@
 			}
 		},
 	} {
-		t.Run(name, func(t *testing.T) {
+		runFleetTest(t, name, func(t *testing.T) {
 			f := startFleet(t, min(120, largestFleet), routeTable(1000))
 			for i, in := range f.instances {
 				fault(f, i, in)
@@ -422,7 +434,7 @@
 // the configuration that it missed.
 func TestMissedChangeArrivesWithoutCalls(t *testing.T) {
 	for _, routes := range [...]int{20, 1000} {
-		t.Run(fmt.Sprintf("%d routes", routes), func(t *testing.T) {
+		runFleetTest(t, fmt.Sprintf("%d routes", routes), func(t *testing.T) {
 			f := startFleet(t, 12, routeTable(routes))
 			in := f.find(false)
 			in.refused.Store(true)
