--- a/internal/feed/catch_up.go
+++ b/internal/feed/catch_up.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// dropAnnouncement forgets an announced version that the store did not have when a later call began.
+// dropAnnouncement discards an announced version that the store did not have when a later call began.
 func (r *Replicator) dropAnnouncement(callBeganAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/feed/large_change_test.go
+++ b/internal/feed/large_change_test.go
@@ -304,7 +304,7 @@
 }
 
 // Guards against an instance that never gets a change which does not fit a datagram, since the store turns it away while
-// it hears of readers.
+// it receives readers' heartbeats.
 func TestInstanceTurnedAwayByStoreGetsLargeChange(t *testing.T) {
 	f := startFleet(t, 12, routeTable(1))
 	in := f.find(false)
@@ -488,8 +488,8 @@
 	require.EqualValues(t, 10, r.Revision())
 }
 
-// Guards against an engine that leaves and is not known to for over 2 s at an instance that hears of changes, but reaches no other
-// instance.
+// Guards against an engine that leaves and is not known to for over 2 s at an instance that receives announcements, but reaches
+// no other instance.
 func TestInstanceWithoutPeersReadsTheStoreInTime(t *testing.T) {
 	f := startFleet(t, 12, routeTable(20))
 	in := f.find(false)
--- a/internal/feed/repeat.go
+++ b/internal/feed/repeat.go
@@ -9,7 +9,7 @@
 
 const (
 	// minRepeatInterval is the time until a change is first repeated; it doubles up to maxRepeatInterval, within which an
-	// instance that hears of readers again has to get the change.
+	// instance that receives heartbeats again has to get the change.
 	minRepeatInterval = 400 * time.Millisecond
 	maxRepeatInterval = 3 * time.Second
 	// repeatFor is how long a change is repeated.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -70,7 +70,7 @@
 	// ObserveStart, if set, is called once for each request of a workspace, when it began to run at a target.
 	ObserveStart func(now time.Time, workspace string)
 	// AwaitCurrentTable waits until the table is the latest one that is known, and returns false if ctx ends before, or if that
-	// can't be told. If it is nil, the table always is.
+	// is unknown. If it is nil, the table always is.
 	AwaitCurrentTable func(ctx context.Context) bool
 
 	targetConns   connPool
