Send a heartbeat after each watch of a reader

Cause: others rely on a reader for 1.6 s after the store's last response to it. A watch without changes takes 1.2 s, and the next heartbeat after it comes up to 0.4 s later, plus its way. If it comes too late, all watch the store themselves for 1.2 s, and a large change in that time is read by each of them. Change: a reader announces its version when a watch ends without changes.

--- a/internal/feed/send.go
+++ b/internal/feed/send.go
@@ -40,6 +40,10 @@
 	defer r.announceMu.Unlock()
 	replaced := r.applyChanges(update, changes)
 	if !changes.version().After(from) {
+		// The next heartbeat may come later than the others rely on the last response.
+		if r.Broadcast != nil && r.isReader() && from.Revision > 0 {
+			r.announce(r.newHeartbeat(now))
+		}
 		return
 	}
 	if r.Broadcast == nil || !r.isReader() {
