Count what readers send by when it was sent

Cause: a heartbeat states how old the store's answer was when it was sent, and the receiver took it for that age on arrival. One that waited in a full link for seconds confirmed an old copy as the latest one, kept the instance relying on its reader, and counted as contact with the store. An answer of the store that arrived slowly confirmed the copy as of its end. Change: messages state a reading of the sender's clock. The receiver takes the fastest message of the last one to two minutes as one without a delay, and counts others by when they were sent. Not shown: that heartbeats were late in the users' record, which has no line on that. It fits what is there (33 instances that heard readers and stayed at one revision).

--- a/internal/feed/broadcast.go
+++ b/internal/feed/broadcast.go
@@ -41,8 +41,14 @@
 	Changed  []changeItem `json:"changed,omitempty"`
 	// Repeated holds recent changes, oldest first, that may be applied whatever else the copy lacks.
 	Repeated []changeItem `json:"repeated,omitempty"`
+	// Clock identifies the sender's clock, which starts with its process, and SentMillis is its reading. Clock is 0 in messages
+	// of builds that do not state them.
+	Clock      uint64 `json:"clock,omitempty"`
+	SentMillis int64  `json:"sent_ms,omitempty"`
 	// ResponseAgeMillis is the age of the store's last response.
 	ResponseAgeMillis int64 `json:"answered_ms"`
+	// ConfirmedMillis is the age of what the store has last confirmed. Builds that do not state it take it for that of the response.
+	ConfirmedMillis *int64 `json:"confirmed_ms,omitempty"`
 	// OutageEndedMillis is the time since the store recovered from an outage, or 0 if it was not
 	// recent.
 	OutageEndedMillis int64 `json:"regained_ms,omitempty"`
@@ -85,9 +91,12 @@
 	if json.Unmarshal(decoded, &message) != nil {
 		return
 	}
+	r.mu.Lock()
+	delay := r.delays.delay(now, message.Clock, time.Duration(message.SentMillis)*time.Millisecond)
+	r.mu.Unlock()
 	r.applyRepeated(now, &message)
 	select {
-	case r.messages <- receivedMessage{ChangeMessage: message, receivedAt: now}:
+	case r.messages <- receivedMessage{ChangeMessage: message, receivedAt: now, sentAt: now.Add(-delay)}:
 	default:
 		// The queue is full; the next message shows that changes were missed.
 		r.droppedMessages.Add(1)
@@ -97,6 +106,16 @@
 type receivedMessage struct {
 	ChangeMessage
 	receivedAt time.Time
+	// sentAt is when the message was sent, by the clock of this instance.
+	sentAt time.Time
+}
+
+// confirmedAt returns the time as of which the store has confirmed the sender's copy.
+func (m *receivedMessage) confirmedAt(respondedAt time.Time) time.Time {
+	if m.ConfirmedMillis == nil {
+		return respondedAt
+	}
+	return m.sentAt.Add(-time.Duration(*m.ConfirmedMillis) * time.Millisecond)
 }
 
 // isReader reports whether this instance reads the store for others.
@@ -118,7 +137,7 @@
 
 // recordReader updates the expiry of the reader that sent a message.
 func (r *Replicator) recordReader(message *receivedMessage, respondedAt time.Time) {
-	expiry := minTime(message.receivedAt.Add(heartbeatTTL), respondedAt.Add(maxResponseAge))
+	expiry := minTime(message.sentAt.Add(heartbeatTTL), respondedAt.Add(maxResponseAge))
 	if message.Failing {
 		delete(r.readerExpiry, message.Reader)
 	} else if expiry.After(r.readerExpiry[message.Reader]) {
@@ -157,6 +176,7 @@
 
 // applyMessage applies one message from another instance.
 func (r *Replicator) applyMessage(message receivedMessage) {
+	r.recordDelay(&message)
 	r.recordLag(message.receivedAt, &message, r.applyChangeMessage(&message))
 }
 
@@ -167,12 +187,15 @@
 		// The reader has not noticed the restore of the store yet.
 		return lagNone
 	}
-	respondedAt := message.receivedAt.Add(-time.Duration(message.ResponseAgeMillis) * time.Millisecond)
+	respondedAt := message.sentAt.Add(-time.Duration(message.ResponseAgeMillis) * time.Millisecond)
 	r.recordReader(message, respondedAt)
 	r.ObserveEra(message.Era)
 	r.applyOutage(message)
+	if message.FromEra == message.Era {
+		r.recordAnnouncement(message.receivedAt, message.to())
+	}
 	if respondedAt.After(r.lastContactAt) {
-		r.recordResponse(respondedAt)
+		r.recordResponse(respondedAt, message.confirmedAt(respondedAt))
 	}
 	update := Update{Revision: message.ToRevision, Era: message.Era, Source: message.Reader}
 	if message.Era > version.Era {
@@ -186,9 +209,6 @@
 		return lagRestored
 	}
 	update.OutageEndedAt = r.recentOutageEnd(message.receivedAt)
-	if message.FromEra == message.Era {
-		r.recordAnnouncement(message.receivedAt, message.to())
-	}
 	if !message.to().After(version) || message.FromEra != message.Era {
 		return lagNone
 	}
@@ -212,13 +232,13 @@
 // applyOutage records that the store recovered for a reader, unless the store responded to this
 // instance in the meantime: then only the reader was cut off, and no entries expired.
 func (r *Replicator) applyOutage(message *receivedMessage) {
-	beganAt := message.receivedAt.Add(-time.Duration(message.OutageBeganMillis) * time.Millisecond)
+	beganAt := message.sentAt.Add(-time.Duration(message.OutageBeganMillis) * time.Millisecond)
 	if message.OutageEndedMillis == 0 || r.lastContactAt.After(beganAt) {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if endedAt := message.receivedAt.Add(-time.Duration(message.OutageEndedMillis) * time.Millisecond); endedAt.After(r.outageEndedAt) {
+	if endedAt := message.sentAt.Add(-time.Duration(message.OutageEndedMillis) * time.Millisecond); endedAt.After(r.outageEndedAt) {
 		r.outageEndedAt, r.outageBeganAt = endedAt, beganAt
 	}
 }
--- a/internal/feed/catch_up.go
+++ b/internal/feed/catch_up.go
@@ -102,7 +102,7 @@
 func (r *Replicator) currency(now time.Time) (current, confirmed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	confirmed = now.Sub(r.lastResponseAt) < currentFor
+	confirmed = now.Sub(r.confirmedAt) < currentFor
 	return confirmed && !r.announced.After(r.applied) && !r.version.After(r.applied) && r.observedEra <= r.applied.Era, confirmed
 }
 
--- a/internal/feed/current_test.go
+++ b/internal/feed/current_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -44,3 +46,105 @@
 	require.Eventually(t, func() bool { return !await(20 * time.Millisecond) }, 3*time.Second, time.Millisecond)
 	require.True(t, await(3*WatchWait))
 }
+
+// awaitCurrent reports whether an instance takes its copy for the latest one, after a short wait.
+func awaitCurrent(r *Replicator) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	return r.AwaitCurrent(ctx)
+}
+
+// Guards against heartbeats that waited in a full link for seconds and count as proof that the copy is the latest one now.
+func TestDelayedHeartbeatsDoNotConfirmTheCopy(t *testing.T) {
+	runFleetTest(t, "fleet", func(t *testing.T) {
+		f := startFleet(t, 12, routeTable(20))
+		in := f.find(false)
+		in.refused.Store(true)
+		in.mute.Store(true)
+		require.True(t, awaitCurrent(in.replicator))
+		in.delay.Store(int64(8 * time.Second))
+		time.Sleep(4 * time.Second)
+		table := routeTable(25)
+		f.store.put("operators/table", table)
+		changedAt := time.Now()
+		for in.recorder.get("operators/table") != table {
+			if behind := time.Since(changedAt); behind > maxApplyTime {
+				require.False(t, awaitCurrent(in.replicator), "%s after a change that has not arrived", behind)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		require.Greater(t, time.Since(changedAt), 7*time.Second)
+		in.delay.Store(0)
+		in.refused.Store(false)
+		time.Sleep(maxApplyTime)
+		require.True(t, awaitCurrent(in.replicator))
+	})
+}
+
+// Guards against an answer of the store that takes seconds to arrive and counts as what the store holds at its end.
+func TestSlowAnswerConfirmsTheCopyAsOfItsBeginning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slow = 6 * time.Second
+		store := &trickledStore{storeStub: newStoreStub()}
+		store.put("operators/table", "1")
+		r := &Replicator{Store: store, InstanceName: "a", IsReader: func() bool { return true }}
+		recorder := startReplicator(t, r)
+		requireEventually(t, recorder, "operators/table", "1", time.Second)
+		time.Sleep(2 * WatchWait)
+		require.True(t, awaitCurrent(r))
+		store.trickle.Store(int64(slow))
+		store.put("operators/table", "2")
+		requireEventually(t, recorder, "operators/table", "2", 2*slow)
+		require.False(t, awaitCurrent(r))
+		store.trickle.Store(0)
+		time.Sleep(slow + WatchWait)
+		require.True(t, awaitCurrent(r))
+	})
+}
+
+// trickledStore is a store whose answers to watches arrive slowly.
+type trickledStore struct {
+	*storeStub
+	trickle atomic.Int64
+}
+
+func (s *trickledStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error) {
+	c, err := s.storeStub.Watch(ctx, prefix, after, wait)
+	for end := time.Now().Add(time.Duration(s.trickle.Load())); err == nil && time.Now().Before(end) && ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
+		ReportProgress(ctx)
+	}
+	return c, err
+}
+
+// Guards against messages that count as delayed because clocks differ, restart, drift or stand still, and against a delay that goes
+// unnoticed.
+func TestDelayOfMessages(t *testing.T) {
+	const interval = 400 * time.Millisecond
+	start := time.Now()
+	var d delayTracker
+	at, sent := time.Duration(0), time.Duration(0)
+	// play receives messages for a time, each with a delay, and returns the last estimate.
+	play := func(clock uint64, lasts, delay time.Duration) (estimate time.Duration) {
+		for end := at + lasts; at < end; at, sent = at+interval, sent+interval {
+			estimate = d.delay(start.Add(at+delay), clock, sent)
+		}
+		return estimate
+	}
+	require.Zero(t, play(1, 10*time.Second, 5*time.Millisecond))
+	require.Equal(t, 7*time.Second, play(1, 20*time.Second, 7*time.Second+5*time.Millisecond))
+	require.Zero(t, play(1, 10*time.Second, 5*time.Millisecond))
+	require.Equal(t, 2*time.Millisecond, play(1, 10*time.Second, 7*time.Millisecond))
+
+	sent = 0
+	require.Zero(t, play(2, 10*time.Second, 5*time.Millisecond), "the sender has restarted")
+	at += 30 * time.Second
+	require.Equal(t, 30*time.Second, play(2, interval, 5*time.Millisecond), "the sender's machine was suspended")
+	require.Zero(t, play(2, 3*delayWindow, 5*time.Millisecond))
+	sent += 30 * time.Second
+	require.Zero(t, play(2, interval, 5*time.Millisecond), "this instance's machine was suspended")
+
+	require.Zero(t, d.delay(start.Add(at), 0, 0), "a build that states no clock")
+	at += 10 * delayWindow
+	play(3, interval, 0)
+	require.Len(t, d.clocks, 1)
+}
--- a/internal/feed/full_read.go
+++ b/internal/feed/full_read.go
@@ -32,7 +32,7 @@
 	}
 	r.confirmEra(first.Era)
 	restored := r.recordRestore(now, from, first)
-	update := r.beginUpdate(now, first)
+	update := r.beginUpdate(now, startedAt, first)
 	update.Full, update.Restored = true, restored
 	r.applyMu.Lock()
 	defer r.applyMu.Unlock()
--- a/internal/feed/large_change_test.go
+++ b/internal/feed/large_change_test.go
@@ -81,7 +81,9 @@
 	mute   atomic.Bool
 	deaf   atomic.Bool
 	frozen atomic.Bool
-	calls  atomic.Int64
+	// delay is the time that datagrams to it wait in a queue.
+	delay atomic.Int64
+	calls atomic.Int64
 }
 
 // testFleet is a number of instances before one store.
@@ -169,7 +171,7 @@
 		if other == in {
 			continue
 		}
-		time.AfterFunc(time.Until(in.wire.passes(len(data))), func() {
+		time.AfterFunc(time.Until(in.wire.passes(len(data)))+time.Duration(other.delay.Load()), func() {
 			if !other.deaf.Load() {
 				other.replicator.HandleMessage(time.Now(), data)
 			}
--- a/internal/feed/outage.go
+++ b/internal/feed/outage.go
@@ -8,9 +8,9 @@
 	"bambooferry.example/bambooferry/pkg/timeline"
 )
 
-// beginUpdate records a response of the store and returns an update for it.
-func (r *Replicator) beginUpdate(now time.Time, version Version) Update {
-	r.recordResponse(now)
+// beginUpdate records a response of the store, which confirms the copy as of a time, and returns an update for it.
+func (r *Replicator) beginUpdate(now, confirmedAt time.Time, version Version) Update {
+	r.recordResponse(now, confirmedAt)
 	return Update{Revision: version.Revision, Era: version.Era, Source: SourceStore, OutageEndedAt: r.recentOutageEnd(now)}
 }
 
@@ -24,8 +24,9 @@
 	return r.outageEndedAt
 }
 
-// recordResponse records that the store responded, which may end an outage.
-func (r *Replicator) recordResponse(now time.Time) {
+// recordResponse records that the store responded, which may end an outage. confirmedAt is the time as of
+// which it confirms the copy, or the zero time if it does not.
+func (r *Replicator) recordResponse(now, confirmedAt time.Time) {
 	if r.storeUnavailable {
 		r.Log.Write(now, timeline.Event{Kind: "store_regained", Revision: r.Revision(), Inputs: []timeline.Input{{Name: "away_ms", Value: now.Sub(r.lastContactAt).Milliseconds()}}})
 	}
@@ -36,6 +37,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lastResponseAt, r.failures = now, 0
+	if confirmedAt.After(r.confirmedAt) {
+		r.confirmedAt = confirmedAt
+	}
 	if outageEnded {
 		r.outageEndedAt, r.outageBeganAt = now, firstFailureAt
 	}
--- a/internal/feed/replicator.go
+++ b/internal/feed/replicator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -121,14 +122,19 @@
 	// observedEra is the latest era that any response or message has stated.
 	observedEra int64
 	eraRaised   chan struct{}
-	// lastResponseAt is when the store last responded. outageEndedAt is when it last recovered, and
-	// outageBeganAt when the first call failed in that outage.
+	// lastResponseAt is when the store last responded, and confirmedAt the time as of which it confirmed the copy. outageEndedAt is
+	// when it last recovered, and outageBeganAt when the first call failed in that outage.
 	lastResponseAt time.Time
+	confirmedAt    time.Time
 	outageEndedAt  time.Time
 	outageBeganAt  time.Time
 	// failures counts the failed calls since lastResponseAt.
 	failures int
 	messages chan receivedMessage
+	// clock identifies the clock that clockStartedAt starts.
+	clock          uint64
+	clockStartedAt time.Time
+	delays         delayTracker
 	// done is closed when Run returns.
 	done chan struct{}
 	// encodeMu lets one reply be encoded at a time. announceMu is held from a change of the copy until it has been
@@ -154,6 +160,8 @@
 	lag           lag
 	// failedCalls counts the consecutive failed calls of this instance.
 	failedCalls int
+	// messagesLate is set if the last message arrived late.
+	messagesLate bool
 	// readerExpiry is the time until which each reader's messages are relied on.
 	readerExpiry map[string]time.Time
 }
@@ -164,6 +172,7 @@
 		r.items, r.readerExpiry = map[string]Item{}, map[string]time.Time{}
 		r.messages = make(chan receivedMessage, messageQueueSize)
 		r.eraRaised = make(chan struct{}, 1)
+		r.clock, r.clockStartedAt = rand.Uint64()|1, time.Now()
 		r.versionChanged, r.done = make(chan struct{}), make(chan struct{})
 	})
 }
@@ -266,7 +275,7 @@
 	err = stallError(ctx, err)
 	r.observeCall("watch", startedAt, err)
 	if compacted := (*CompactedError)(nil); errors.As(err, &compacted) {
-		r.recordResponse(time.Now())
+		r.recordResponse(time.Now(), time.Time{})
 		r.Log.Write(time.Now(), timeline.Event{Kind: "store_history_gone", Revision: compacted.After})
 		r.needsFullRead = true
 		return false, nil
@@ -281,7 +290,7 @@
 		r.ObserveEra(changes.Era)
 		return false, &EraError{Expected: from.Era, Received: changes.Era}
 	}
-	update := r.beginUpdate(now, changes.version())
+	update := r.beginUpdate(now, responseBegan(ctx, now), changes.version())
 	r.applyMu.Lock()
 	defer r.applyMu.Unlock()
 	r.applyAndBroadcast(now, from, &update, changes)
--- a/internal/feed/send.go
+++ b/internal/feed/send.go
@@ -156,6 +156,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	message := ChangeMessage{FromRevision: r.version.Revision, ToRevision: r.version.Revision, FromEra: r.version.Era, Era: r.version.Era, Reader: r.InstanceName, ResponseAgeMillis: now.Sub(r.lastResponseAt).Milliseconds()}
+	confirmedMillis := now.Sub(r.confirmedAt).Milliseconds()
+	message.ConfirmedMillis = &confirmedMillis
+	message.Clock, message.SentMillis = r.clock, now.Sub(r.clockStartedAt).Milliseconds()
 	message.Failing = r.failures >= failuresBeforeReport
 	if sinceEnd := now.Sub(r.outageEndedAt); !r.outageEndedAt.IsZero() && sinceEnd < outageReportWindow {
 		message.OutageEndedMillis = max(sinceEnd.Milliseconds(), 1)
