Limit progress only when echoes of several instances are slow

Cause: four slow echoes in a row could all be of one or two paused instances; the rate of progress messages was limited although the own link was free. Seen in a log of the stop soak with three instances (progress_paced while others were paused). Change: of each instance one slow echo counts, and those that answer are asked in turn.

--- a/internal/gossip/pacer.go
+++ b/internal/gossip/pacer.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -12,7 +13,7 @@
 	// slowEcho is the round trip from which datagrams count as waiting in a queue; between data centres of one region
 	// it takes some milliseconds.
 	slowEcho = 250 * time.Millisecond
-	// echoRun is the number of consecutive echoes that decide: some instances may be lost or paused.
+	// echoRun is the number of consecutive echoes that decide, slow ones of as many instances: some may be lost or paused.
 	echoRun = 4
 	// forgottenEcho is the age at which an echo counts as lost, and its instance as one that may not answer.
 	forgottenEcho = 10 * time.Second
@@ -37,6 +38,8 @@
 	used   float64
 	echoes []echo
 	nextID uint64
+	// nextPeer is the position of the next instance to get an echo.
+	nextPeer int
 	// answering holds the instances that have returned an echo; builds that don't know echoes never do.
 	answering map[netip.AddrPort]bool
 }
@@ -72,18 +75,17 @@
 	p.tokens = min(p.tokens+p.rate*elapsed, max(p.rate*pacedBurst.Seconds(), MaxDatagram))
 }
 
-// nextEcho records the next echo and returns the instance for it: one that is known to answer, if there is one, but for
-// each eighth.
+// nextEcho records the next echo and returns the instance for it: those that are known to answer in turn, if there are any, but for
+// each eighth echo.
 func (p *pacer) nextEcho(now time.Time, peers []netip.AddrPort) (id uint64, to netip.AddrPort, ok bool) {
 	if len(peers) == 0 {
 		return 0, netip.AddrPort{}, false
 	}
 	p.nextID++
-	first := rand.IntN(len(peers))
-	to = peers[first]
+	to = peers[rand.IntN(len(peers))]
 	for i := 0; i < len(peers) && p.nextID%8 != 0; i++ {
-		if other := peers[(first+i)%len(peers)]; p.answering[other] {
-			to = other
+		if at := (p.nextPeer + i) % len(peers); p.answering[peers[at]] {
+			to, p.nextPeer = peers[at], at+1
 			break
 		}
 	}
@@ -130,14 +132,18 @@
 }
 
 // count returns how many of the last echoes were slow and how many were not; those of which neither is known yet are left
-// out.
+// out. Of each instance one slow echo counts, since it may be the instance that is lost or paused.
 func (p *pacer) count(now time.Time) (slow, fast int) {
+	counted := make([]netip.AddrPort, 0, echoRun)
 	for i := len(p.echoes) - 1; i >= 0 && slow+fast < echoRun; i-- {
 		e := &p.echoes[i]
 		switch {
 		case !e.judged:
 		case e.roundTrip >= slowEcho || e.roundTrip == 0 && now.Sub(e.sentAt) >= slowEcho:
-			slow++
+			if !slices.Contains(counted, e.to) {
+				counted = append(counted, e.to)
+				slow++
+			}
 		case e.roundTrip > 0:
 			fast++
 		}
--- a/internal/gossip/pacer_test.go
+++ b/internal/gossip/pacer_test.go
@@ -100,17 +100,25 @@
 
 // Guards against a limit because others are lost, or are of a build that returns no echoes.
 func TestLostInstancesDoNotLimitProgress(t *testing.T) {
-	for name, answers := range map[string]func(i int) bool{
-		"former builds": func(int) bool { return false },
-		"some former":   func(i int) bool { return i%3 == 0 },
+	for name, test := range map[string]struct {
+		peers   int
+		answers func(at time.Duration, i int) bool
+	}{
+		"former builds": {294, func(time.Duration, int) bool { return false }},
+		"some former":   {294, func(_ time.Duration, i int) bool { return i%3 == 0 }},
+		"three paused":  {5, func(at time.Duration, i int) bool { return at < 10*time.Second || i > 1002 }},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l := &linkPlay{rate: 20e6 / 8, answers: answers}
-			for i := range 294 {
+			now := time.Now()
+			l := &linkPlay{rate: 20e6 / 8}
+			for i := range test.peers {
 				l.peers = append(l.peers, netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1000+i)))
 			}
-			_, share := l.play(time.Now(), 30*time.Second)
-			require.InDelta(t, 1, share, 1e-9)
+			for at := time.Duration(0); at < 30*time.Second; at += 10 * time.Second {
+				l.answers = func(i int) bool { return test.answers(at, i) }
+				_, share := l.play(now.Add(at), 10*time.Second)
+				require.InDelta(t, 1, share, 1e-9)
+			}
 		})
 	}
 }
