--- a/internal/gossip/socket.go
+++ b/internal/gossip/socket.go
@@ -79,6 +79,13 @@
 	return true
 }
 
+// IsLimited reports whether the rate of progress messages is limited.
+func (s *Socket) IsLimited() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pacer.rate > 0
+}
+
 // datagramOverhead is the length of the headers of a datagram in bytes.
 const datagramOverhead = 28
 
