Do not state that a model or key is unknown with an outdated catalogue

Cause: 404 and 401 were stated from the catalogue in force, though a peer's heartbeats had announced a later one. Change: while a peer states a later revision, such a request is refused with 503 catalogue_outdated, which says that it was not run. Result: TestOutdatedCatalogueDoesNotDenyEntriesAndKeys fails without the check (404) and passes. Ruled out: no limit in time for an announcement, since a revision that nobody has any more would hide all 404 for good.

--- a/internal/server/call.go
+++ b/internal/server/call.go
@@ -125,7 +125,7 @@
 	key := r.Header.Get(IdempotencyKeyHeader)
 	switch {
 	case e == nil || e.Kind != catalogue.Service:
-		return nil, newRefusal(http.StatusNotFound, "unknown_entry", "the catalogue has no such service")
+		return nil, s.refuseUnknown(r.now, http.StatusNotFound, "unknown_entry", "the catalogue has no such service")
 	case !slices.Contains(callMethods, r.Method):
 		return nil, newRefusal(http.StatusMethodNotAllowed, "wrong_method", "calls are made with "+strings.Join(callMethods, ", "))
 	case len(key) > booking.MaxTicketBytes || len(key) > booking.MaxKeyBytes && !strings.HasPrefix(key, booking.TicketPrefix):
--- a/internal/server/catalogue.go
+++ b/internal/server/catalogue.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -142,10 +143,13 @@
 }
 
 // compareRevision compares a peer's catalogue with the one in force.
-func (s *Server) compareRevision(b *instance.Beat) {
+func (s *Server) compareRevision(now time.Time, b *instance.Beat) {
 	revision, hash := s.revisionInForce()
 	switch {
 	case b.Revision > revision:
+		laterRevision.Update(s.Board, func(old announcedRevision, _ bool) (announcedRevision, bool) {
+			return announcedRevision{revision: max(old.revision, b.Revision), at: now}, true
+		})
 		select {
 		case s.membership.catalogueNews <- revisionNews{b.From.Address, b.Revision}:
 		default:
@@ -155,6 +159,28 @@
 	}
 }
 
+// announcedRevision is a revision that a peer has, and when a peer last stated that it has a later one than this instance.
+type announcedRevision struct {
+	revision int64
+	at       time.Time
+}
+
+// laterRevision is the blackboard key of the latest revision that a peer has announced.
+var laterRevision = blackboard.Key[announcedRevision]{Name: "catalogue-announced"}
+
+// announcementTTL is how long an announced revision is believed in; heartbeats repeat it several times a second.
+const announcementTTL = 5 * time.Second
+
+// refuseUnknown refuses a request for something that is not in the catalogue. An instance that knows that a peer has a later
+// catalogue can't state that it does not exist.
+func (s *Server) refuseUnknown(now time.Time, status int, code, message string) *Refusal {
+	revision, _ := s.revisionInForce()
+	if later, _ := laterRevision.Get(s.Board); later.revision > revision && now.Sub(later.at) < announcementTTL {
+		return newRefusal(http.StatusServiceUnavailable, "catalogue_outdated", "it is not in this instance's catalogue, and another instance has a later one").retryAfter(time.Second)
+	}
+	return newRefusal(status, code, message)
+}
+
 // revisionInForce returns the revision in force and the hash of its content.
 func (s *Server) revisionInForce() (int64, uint64) {
 	kept, ok := catalogueForms.Get(s.Board)
--- a/internal/server/completion.go
+++ b/internal/server/completion.go
@@ -112,7 +112,7 @@
 func (s *Server) newStream(r *request, c *completion, chat bool) (*stream, error) {
 	e := r.document.Entry(c.Model)
 	if e == nil || e.Kind != catalogue.Model {
-		return nil, newRefusal(http.StatusNotFound, "unknown_model", "the catalogue has no such model")
+		return nil, s.refuseUnknown(r.now, http.StatusNotFound, "unknown_model", "the catalogue has no such model")
 	}
 	r.entry = e.Name
 	prompt := c.buildPrompt(chat)
--- a/internal/server/http.go
+++ b/internal/server/http.go
@@ -166,7 +166,7 @@
 		r.document, r.workspace = d, d.WorkspaceByKey(key)
 	}
 	if r.workspace == nil {
-		return newRefusal(http.StatusUnauthorized, "wrong_key", "the bearer key belongs to no workspace")
+		return s.refuseUnknown(r.now, http.StatusUnauthorized, "wrong_key", "the bearer key belongs to no workspace")
 	}
 	r.account = s.newAccount(r.workspace.Name)
 	return nil
--- a/internal/server/member.go
+++ b/internal/server/member.go
@@ -126,7 +126,7 @@
 		return
 	}
 	s.Metrics.GetOrCreateCounter("bambooferry_heartbeats_total").Inc()
-	s.compareRevision(&out)
+	s.compareRevision(now, &out)
 	if differs {
 		_ = s.exchangeTables(ctx, to.Address, true)
 	}
--- a/internal/server/member_service.go
+++ b/internal/server/member_service.go
@@ -64,7 +64,7 @@
 	*out = s.membership.table.NextBeat(in.From.ID, revision, content)
 	s.publishChanges(now)
 	s.membership.mu.Unlock()
-	s.compareRevision(in)
+	s.compareRevision(now, in)
 	return nil
 }
 
--- a/internal/server/member_test.go
+++ b/internal/server/member_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/gob"
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -162,13 +166,61 @@
 	require.False(t, put(1, "older"))
 	d, _ := Catalogue.Get(s.Board)
 	require.Equal(t, "first", d.Entries[0].Owner)
-	s.compareRevision(&instance.Beat{Revision: 2, Content: 1})
+	s.compareRevision(time.Now(), &instance.Beat{Revision: 2, Content: 1})
 	require.EqualValues(t, 1, conflicts.Get(), "one alarm for one revision")
 	require.True(t, put(3, "third"))
-	s.compareRevision(&instance.Beat{Revision: 3, Content: 1})
+	s.compareRevision(time.Now(), &instance.Beat{Revision: 3, Content: 1})
 	require.EqualValues(t, 2, conflicts.Get())
 }
 
+// TestOutdatedCatalogueDoesNotDenyEntriesAndKeys guards against a 404 or 401 for what a later catalogue may hold, from an instance that
+// knows that it lacks one, and against an instance that never states either again.
+func TestOutdatedCatalogueDoesNotDenyEntriesAndKeys(t *testing.T) {
+	s := newMember(t, "a", nil, netip.AddrPort{})
+	data, err := json.Marshal(fleetDocument(24))
+	require.NoError(t, err)
+	require.True(t, s.ApplyCatalogue(time.Now(), data))
+	s.Limits = DefaultLimits()
+	handler := s.Handler()
+	ask := func(path, key, body string) (int, string) {
+		r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+		r.Header.Set("Authorization", "Bearer "+key)
+		r.Header.Set("Content-Type", "application/json")
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		return w.Code, w.Body.String()
+	}
+	const completion = `{"model":"later","prompt":"x","max_tokens":1}`
+	requireRefusals := func(want func(status int) int, code string) {
+		t.Helper()
+		for _, c := range []struct {
+			path, key, body, code string
+			status                int
+		}{
+			{"/v1/completions", "0", completion, "unknown_model", http.StatusNotFound},
+			{"/call/later", "0", "", "unknown_entry", http.StatusNotFound},
+			{"/v1/completions", "later", completion, "wrong_key", http.StatusUnauthorized},
+		} {
+			status, body := ask(c.path, c.key, c.body)
+			require.Equal(t, want(c.status), status, body)
+			require.Contains(t, body, cmp.Or(code, c.code))
+			require.Contains(t, body, "not_run")
+		}
+	}
+	same := func(status int) int { return status }
+	requireRefusals(same, "")
+	s.compareRevision(time.Now(), &instance.Beat{Revision: 2, Content: 1})
+	requireRefusals(func(int) int { return http.StatusServiceUnavailable }, "catalogue_outdated")
+	d := fleetDocument(24)
+	d.Revision = 2
+	data, err = json.Marshal(d)
+	require.NoError(t, err)
+	require.True(t, s.ApplyCatalogue(time.Now(), data))
+	requireRefusals(same, "")
+	s.compareRevision(time.Now().Add(-announcementTTL), &instance.Beat{Revision: 9, Content: 1})
+	requireRefusals(same, "")
+}
+
 // FuzzMemberMessages guards against messages that pass their checks although they are out of bounds, or crash the member table.
 func FuzzMemberMessages(f *testing.F) {
 	self := instance.Member{ID: "b", Address: netip.MustParseAddrPort("127.0.0.1:1"), DataCentre: "dc-1", Incarnation: 2}
