Look for a request again if the last read before a close took long

Cause: between the last read of an idle connection and its shutdown the process may be paused, most likely as that read returns, and a request arrives meanwhile. Change: after a read of over 200 us the connection is read again, and the shutdown is a raw system call, which the scheduler does not delay. Result: TestRequestDuringPauseBeforeCloseIsRead fails before and passes. Ruled out: closing only the sending side first, which can't be taken back either.

--- a/internal/callerconn/conn.go
+++ b/internal/callerconn/conn.go
@@ -48,6 +48,9 @@
 // the header.
 const peekedBytes = 4
 
+// maxReadTime is the time within which a read that does not wait has to return.
+const maxReadTime = 200 * time.Microsecond
+
 // expired is a read deadline that ends a read immediately.
 var expired = time.Unix(1, 0)
 
@@ -61,6 +64,8 @@
 	// headerTimeout bounds the time from a request's first byte to the end of its header; 0 means that
 	// there is no bound.
 	headerTimeout time.Duration
+	// readNow reads what the kernel holds without waiting; it is syscall.Read outside tests.
+	readNow func(fd int, p []byte) (int, error)
 
 	mu    sync.Mutex
 	phase phase
@@ -105,14 +110,17 @@
 	n := 0
 	var readErr error
 	err = raw.Control(func(fd uintptr) {
-		n, readErr = syscall.Read(int(fd), p)
-		for errors.Is(readErr, syscall.EINTR) {
-			n, readErr = syscall.Read(int(fd), p)
+		for startedAt := time.Now(); ; startedAt = time.Now() {
+			n, readErr = c.readNow(int(fd), p)
+			// After a longer read the process may have been paused since the kernel looked for data.
+			if !errors.Is(readErr, syscall.EINTR) && (!shutDown || !errors.Is(readErr, syscall.EAGAIN) || time.Since(startedAt) < maxReadTime) {
+				break
+			}
 		}
 		if shutDown && errors.Is(readErr, syscall.EAGAIN) {
-			// Here, and not when net/http closes the connection: the process may be paused meanwhile.
-			// On an error that close follows.
-			_ = syscall.Shutdown(int(fd), syscall.SHUT_RDWR)
+			// Here, and not when net/http closes the connection: the process may be paused meanwhile. A raw call,
+			// since the scheduler may delay other ones. On an error that close follows.
+			_, _, _ = syscall.RawSyscall(syscall.SYS_SHUTDOWN, fd, syscall.SHUT_RDWR, 0)
 		}
 	})
 	switch {
--- a/internal/callerconn/conn_test.go
+++ b/internal/callerconn/conn_test.go
@@ -61,10 +61,14 @@
 	t.Helper()
 	raw, err := c.SyscallConn()
 	require.NoError(t, err)
-	n := 0
-	require.NoError(t, raw.Control(func(fd uintptr) {
-		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	}))
+	found := false
+	require.NoError(t, raw.Control(func(fd uintptr) { found = arrivedAt(int(fd)) }))
+	return found
+}
+
+// arrivedAt reports whether the kernel holds data for a descriptor.
+func arrivedAt(fd int) bool {
+	n, _, _ := syscall.Recvfrom(fd, make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	return n > 0
 }
 
@@ -130,6 +134,30 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// Guards against a request that arrives while the process is paused between its last read of an idle connection and the close.
+func TestRequestDuringPauseBeforeCloseIsRead(t *testing.T) {
+	c, caller := connPair(t)
+	reads := 0
+	c.readNow = func(fd int, p []byte) (int, error) {
+		n, err := syscall.Read(fd, p)
+		if reads++; reads == 1 {
+			_, _ = caller.Write([]byte("GET"))
+			require.Eventually(t, func() bool { return arrivedAt(fd) }, time.Second, time.Millisecond)
+			time.Sleep(10 * maxReadTime)
+		}
+		return n, err
+	}
+	c.closeIfIdle(time.Now().Add(time.Hour), time.Minute, IdleTimeout)
+	b := make([]byte, 10)
+	n, err := c.Read(b)
+	require.NoError(t, err)
+	require.Equal(t, "GET", string(b[:n]))
+	_, err = c.Write([]byte("HTTP"))
+	require.NoError(t, err)
+	_, err = io.ReadFull(caller, b[:4])
+	require.NoError(t, err)
+}
+
 // Guards against resetting connections that the kernel has completed when the listener closes.
 func TestDrainAcceptsQueuedConns(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/callerconn/listener.go
+++ b/internal/callerconn/listener.go
@@ -59,7 +59,7 @@
 		_ = nc.Close()
 		return nil, &net.OpError{Op: "accept", Net: network, Err: net.UnknownNetworkError(network)}
 	}
-	c := &conn{TCPConn: t, headerTimeout: l.headerTimeout}
+	c := &conn{TCPConn: t, headerTimeout: l.headerTimeout, readNow: syscall.Read}
 	l.track(c)
 	return c, nil
 }
