Bound the ages that readers state

Cause: an age out of range, from a faulty sender, overflowed and confirmed the copy in the future, and so for good (found by reading again). Change: an age counts as at least none and at most an hour. Result: TestAgeOutOfRangeDoesNotConfirmTheFuture fails before (age) and passes. Ruled out: dropping the message: its changes are of use whatever its age.

--- a/internal/feed/broadcast.go
+++ b/internal/feed/broadcast.go
@@ -115,7 +115,13 @@
 	if m.ConfirmedMillis == nil {
 		return respondedAt
 	}
-	return m.sentAt.Add(-time.Duration(*m.ConfirmedMillis) * time.Millisecond)
+	return before(m.sentAt, *m.ConfirmedMillis)
+}
+
+// before returns the time that is some milliseconds before t. An age out of range, from a faulty sender, counts as none or as an hour, so that
+// nothing is confirmed in the future.
+func before(t time.Time, millis int64) time.Time {
+	return t.Add(-time.Duration(min(max(millis, 0), time.Hour.Milliseconds())) * time.Millisecond)
 }
 
 // isReader reports whether this instance reads the store for others.
@@ -187,7 +193,7 @@
 		// The reader has not noticed the restore of the store yet.
 		return lagNone
 	}
-	respondedAt := message.sentAt.Add(-time.Duration(message.ResponseAgeMillis) * time.Millisecond)
+	respondedAt := before(message.sentAt, message.ResponseAgeMillis)
 	r.recordReader(message, respondedAt)
 	r.ObserveEra(message.Era)
 	r.applyOutage(message)
--- a/internal/feed/current_test.go
+++ b/internal/feed/current_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -102,6 +103,20 @@
 	})
 }
 
+// Guards against a message with an age out of range that confirms the copy in the future, and so for good.
+func TestAgeOutOfRangeDoesNotConfirmTheFuture(t *testing.T) {
+	for _, age := range []int64{-1000, math.MinInt64, math.MaxInt64, math.MaxInt64/int64(time.Millisecond) + 1} {
+		r := &Replicator{Prefixes: []string{"operators/"}, Apply: func(time.Time, Update) {}}
+		r.Init()
+		data, ok := encodeMessage(&ChangeMessage{FromRevision: 1, ToRevision: 1, Reader: "a", ResponseAgeMillis: age, ConfirmedMillis: &age})
+		require.True(t, ok)
+		r.HandleMessage(time.Now(), data)
+		r.drainMessages()
+		_, confirmed := r.currency(time.Now().Add(currentFor + time.Second))
+		require.False(t, confirmed, "age %d", age)
+	}
+}
+
 // trickledStore is a store whose answers to watches arrive slowly.
 type trickledStore struct {
 	*storeStub
