--- a/internal/feed/large_change_test.go
+++ b/internal/feed/large_change_test.go
@@ -73,6 +73,7 @@
 // testInstance is an instance of a testFleet, which takes its part of the store and of the network.
 type testInstance struct {
 	fleet      *testFleet
+	number     int
 	name       string
 	address    netip.AddrPort
 	wire       *wire
@@ -100,6 +101,18 @@
 	storeWire *wire
 	instances []*testInstance
 	byAddress map[netip.AddrPort]*testInstance
+	// crossBytes counts what instances send to others in other data centres.
+	crossBytes atomic.Int64
+}
+
+// testDataCentres is the number of data centres over which a fleet is spread.
+const testDataCentres = 5
+
+// send counts the bytes of a message between two instances.
+func (f *testFleet) send(from, to *testInstance, n int) {
+	if from.number%testDataCentres != to.number%testDataCentres {
+		f.crossBytes.Add(int64(n))
+	}
 }
 
 func itemBytes(items []Item) int {
@@ -165,6 +178,7 @@
 	default:
 		return errNoSuchMethod
 	}
+	in.fleet.send(other, in, n)
 	if !other.wire.carry(ctx, n) || !in.wire.carry(ctx, n) {
 		return ctx.Err()
 	}
@@ -187,6 +201,7 @@
 		if other == in {
 			continue
 		}
+		in.fleet.send(in, other, len(data))
 		time.AfterFunc(time.Until(in.wire.passes(len(data)))+time.Duration(other.delay.Load()), func() {
 			if !other.deaf.Load() {
 				other.replicator.HandleMessage(time.Now(), data)
@@ -203,11 +218,11 @@
 	f := &testFleet{store: newStoreStub(), storeWire: &wire{bitsPerSecond: 1e9}, byAddress: map[netip.AddrPort]*testInstance{}}
 	f.store.put("operators/table", table)
 	for i := range n {
-		in := &testInstance{fleet: f, name: fmt.Sprintf("i%d", i), address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000), wire: &wire{bitsPerSecond: 20e6}}
+		in := &testInstance{fleet: f, number: i, name: fmt.Sprintf("i%d", i), address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000), wire: &wire{bitsPerSecond: 20e6}}
 		in.membership = &Membership{Self: in.address, KeyPrefix: members, Caller: in}
 		in.replicator = &Replicator{Store: in, Peers: in.membership, InstanceName: in.name, IsReader: in.isReader, Broadcast: in.broadcast, MaxBroadcast: 1399, RepeatedPrefix: "operators/", Apply: in.membership.Apply}
 		f.instances, f.byAddress[in.address] = append(f.instances, in), in
-		f.store.put(members+in.address.String(), fmt.Sprintf(`{"name":%q,"address":%q,"data_centre":"dc%d"}`, in.name, in.address, i%5))
+		f.store.put(members+in.address.String(), fmt.Sprintf(`{"name":%q,"address":%q,"data_centre":"dc%d"}`, in.name, in.address, i%testDataCentres))
 	}
 	for _, in := range f.instances {
 		in.replicator.Init()
@@ -290,12 +305,13 @@
 		}
 		runFleetTest(t, fmt.Sprintf("%d instances %d to %d routes", test.instances, test.from, test.to), func(t *testing.T) {
 			f := startFleet(t, test.instances, routeTable(test.from))
-			before := f.calls()
+			before, crossBefore := f.calls(), f.crossBytes.Load()
 			table := routeTable(test.to)
 			changedAt := time.Now()
 			f.store.put("operators/table", table)
 			f.requireTable(t, table, maxApplyTime)
-			t.Logf("%d bytes in force after %s with %d calls to the store", len(table), time.Since(changedAt), f.calls()-before)
+			t.Logf("%d bytes in force after %s with %d calls to the store and %d bytes between data centres",
+				len(table), time.Since(changedAt), f.calls()-before, f.crossBytes.Load()-crossBefore)
 			require.LessOrEqual(t, f.calls()-before, int64(20), "calls to the store of two readers within %s", maxApplyTime)
 		})
 	}
