--- a/internal/feed/large_change_test.go
+++ b/internal/feed/large_change_test.go
@@ -185,7 +185,7 @@
 	return err
 }
 
-// isReader reports whether it reads the store for others; one whose datagrams have lately waited long does not.
+// isReader reports whether the instance reads the store for others. It does not for 5 s after datagrams waited for over 250 ms in its link.
 func (in *testInstance) isReader() bool {
 	return in.membership.IsReader() && time.Now().UnixNano() >= in.limitedUntil.Load()
 }
