--- a/review/stand/caller.go
+++ b/review/stand/caller.go
@@ -68,6 +68,9 @@
 	if r.id == "" {
 		r.id = newID("r")
 	}
+	d.mu.Lock()
+	d.sentTo[r.id] = r.instance
+	d.mu.Unlock()
 	d.record.Printf("sent %s to %s %s %d B", r.id, r.instance.name, r.path, len(r.body))
 	a := exchange(r)
 	a.took = time.Since(r.sentAt)
--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -45,18 +45,20 @@
 	// runs holds when engines began to run each request, and crashes the times of the crashes.
 	runs    map[string][]time.Time
 	crashes []time.Time
-	// log holds all runs.
-	log   []engineRun
-	calls sync.WaitGroup
+	// log holds all runs, and sentTo the instance to which each request was sent.
+	log    []engineRun
+	sentTo map[string]*instance
+	calls  sync.WaitGroup
 }
 
 // engineRun is one request that reached an engine.
 type engineRun struct {
-	engine *engine
-	at     time.Time
+	request string
+	engine  *engine
+	at      time.Time
 }
 
-var keys = []string{"key-one-4f1b", "key-two-77ac", "key-three-90de"}
+var keys = []string{"key-one-4f1b", "key-two-77ac", "key-three-90de", "key-four-18b3", "key-five-c0a7"}
 
 func config(p *plan) map[string]any {
 	service := map[string]any{"name": p.spec.service, "healthPath": "/health", "maxConnections": 240, "protocol": "h1", "tls": false}
@@ -91,7 +93,7 @@
 
 // startDeployment starts the stand-ins and the instances, and waits until they are ready.
 func startDeployment(record *recorder, p *plan) (*deployment, error) {
-	d := &deployment{record: record, runs: map[string][]time.Time{}}
+	d := &deployment{record: record, runs: map[string][]time.Time{}, sentTo: map[string]*instance{}}
 	var err error
 	if d.dir, err = os.MkdirTemp("", "bambooferry-review-"); err != nil {
 		return nil, err
@@ -155,7 +157,7 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	d.runs[id] = append(d.runs[id], now)
-	d.log = append(d.log, engineRun{e, now})
+	d.log = append(d.log, engineRun{id, e, now})
 }
 
 func (d *deployment) observeCrash(*engine, string) {
