--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -29,6 +29,8 @@
 	streams bool
 	// kvTokens is the memory of a model engine.
 	kvTokens int
+	// late, if set, returns how much later a write to the store takes effect that gets no answer.
+	late func(writes []item) time.Duration
 }
 
 // deployment is a small deployment with its stand-ins.
@@ -105,6 +107,7 @@
 	if d.store, err = startStore(storeAddress); err != nil {
 		return d, err
 	}
+	d.store.late = p.late
 	d.store.Put("op/config", config(p))
 	for i := range p.engines {
 		address, err := freePort("127.0.0.1")
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -23,6 +23,7 @@
 	"small-pool":       runSmallPool,
 	"little-traffic":   runLittleTraffic,
 	"crashing-request": runCrashingRequest,
+	"late-listing":     runLateListing,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -39,6 +39,8 @@
 	events   []item
 	leases   map[int64]time.Time
 	ttl      map[int64]time.Duration
+	// late, if set, returns how much later a write takes effect that gets no answer.
+	late func(writes []item) time.Duration
 }
 
 // startStore starts a store on an address.
@@ -195,6 +197,12 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if s.late != nil {
+		if d := s.late(in.Writes); d > 0 {
+			time.Sleep(d)
+			defer func() { panic(http.ErrAbortHandler) }()
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current, conflict := []item{}, false
