Do not believe a health answer or a confirmed cancel that breaks off

Callers saw: nothing reported; found by looking for broken answers that are taken as whole. Cause: the probe for the incarnation at an address, and the cancellation of a generation, read the header of the answer and ignored how its body ended. Change: a health answer that breaks off names no incarnation and shows no crash; a cancel whose answer breaks off is not confirmed and is sent again. Result: TestCutHealthAnswerNamesNoIncarnation and TestCutAnswerConfirmsNoCancel fail before and pass. Ruled out: to count a health answer that breaks off as a sign of a crash, since an engine that writes a header lives.

--- a/internal/relay/successor.go
+++ b/internal/relay/successor.go
@@ -77,11 +77,15 @@
 		return "", errors.CombineErrors(err, c.Close())
 	}
 	info := r.Codec.ParseResponse(time.Now(), res)
-	if !discardBody(res.Body) || res.Close || !hasExplicitEnd(res) {
+	complete := discardBody(res.Body)
+	if !complete || res.Close || !hasExplicitEnd(res) {
 		_ = c.Close()
 	} else {
 		r.targetConns.put(time.Now(), c, info.KeepAlive)
 	}
+	if !complete {
+		return "", &ResponseError{Rule: "health_body"}
+	}
 	return info.Incarnation, nil
 }
 
--- a/internal/server/open.go
+++ b/internal/server/open.go
@@ -110,6 +110,6 @@
 		return false
 	}
 	defer res.Body.Close()
-	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, 1<<16))
-	return res.StatusCode == http.StatusOK
+	_, err = io.Copy(io.Discard, io.LimitReader(res.Body, 1<<16))
+	return err == nil && res.StatusCode == http.StatusOK
 }
