Reject a response whose status is below 100

Callers saw: an engine in trouble sent an answer whose status was 000, and the caller got it as an answer. Cause: net/http reads any three digits as a status. The relay and internal/server took a status below 100 for that of an informational response, and read the body that followed as the answer: a 000 whose body looks like a 200 reached the caller as that 200, and one with another body held the request until its time limit. The clients on http.Transport took 000 for an answer: a repeatable call, an order, and a call to the store, the duties or the key-value service. Change: header.ReadResponse and header.Transport reject such a header as no response. The attempt ends with the rule "status", and a call gets 502 bad_answer with the outcome unknown, or the answer of another target where a request may run again. header.Transport closes the connection, so that what follows on it is not read as the next answer. Ruled out: to reject 600 and above too; RFC 9110 has a client treat them as 5xx, which the relay does.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"bambooferry.example/bambooferry/internal/header"
 	"bambooferry.example/bambooferry/internal/peer"
 	"bambooferry.example/bambooferry/internal/platform"
 	"bambooferry.example/bambooferry/internal/server"
@@ -315,7 +316,7 @@
 // newHTTPClient returns a client whose connections are all closed when the instance is killed.
 func (in *Instance) newHTTPClient() *http.Client {
 	client := server.NewClient(time.Second)
-	transport := client.Transport.(*http.Transport)
+	transport := client.Transport.(*header.Transport)
 	transport.DialContext = in.failWhenKilled(in.connections.wrapDial(transport.DialContext))
 	return client
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"bambooferry.example/bambooferry/internal/header"
 	"bambooferry.example/bambooferry/internal/socket"
 )
 
@@ -87,7 +88,7 @@
 func NewHTTPClient() *http.Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.DialContext = (&socket.Dialer{Dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}}).DialContext
-	return &http.Client{Transport: transport}
+	return &http.Client{Transport: &header.Transport{Transport: transport}}
 }
 
 // Get returns the value of a key; an absent key has version 0.
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -217,13 +217,10 @@
 		err := begin(buffered)
 		res := (*http.Response)(nil)
 		if err == nil {
-			res, err = http.ReadResponse(c.reader, r)
-		}
-		if long := (*header.LinesError)(nil); errors.As(err, &long) {
-			return nil, &ResponseError{Rule: "header_lines"}
+			res, err = header.ReadResponse(c.reader, r)
 		}
 		if err != nil {
-			return nil, err
+			return nil, headerError(err)
 		}
 		if res.StatusCode >= http.StatusOK {
 			return res, nil
@@ -233,6 +230,18 @@
 	return nil, &ResponseError{Rule: "informational"}
 }
 
+// headerError returns the error of reading a header, as a *ResponseError if the header is none of a response.
+func headerError(err error) error {
+	lines, status := (*header.LinesError)(nil), (*header.StatusError)(nil)
+	switch {
+	case errors.As(err, &lines):
+		return &ResponseError{Rule: "header_lines"}
+	case errors.As(err, &status):
+		return &ResponseError{Rule: "status"}
+	}
+	return err
+}
+
 // isReusable reports whether an idle connection is open and has received no data since its last
 // response.
 func (c *conn) isReusable() bool {
--- a/internal/server/call_send.go
+++ b/internal/server/call_send.go
@@ -166,7 +166,7 @@
 		if err := begin(buffered); err != nil {
 			return targetResponse{}, err
 		}
-		res, err := http.ReadResponse(in, req)
+		res, err := header.ReadResponse(in, req)
 		if err != nil {
 			return targetResponse{}, err
 		}
--- a/internal/server/call_state.go
+++ b/internal/server/call_state.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"bambooferry.example/bambooferry/internal/header"
 	"bambooferry.example/bambooferry/internal/socket"
 	"bambooferry.example/bambooferry/pkg/booking"
 	"bambooferry.example/bambooferry/pkg/instance"
@@ -52,7 +52,7 @@
 		reported: map[string]crashReport{},
 	}
 	s.calls.dialContext = (&socket.Dialer{Dialer: net.Dialer{Timeout: time.Second}}).DialContext
-	if t, ok := s.Client.Transport.(*http.Transport); ok && t.DialContext != nil {
+	if t, ok := s.Client.Transport.(*header.Transport); ok && t.DialContext != nil {
 		s.calls.dialContext = t.DialContext
 	}
 	if s.Peers == nil {
--- a/internal/server/client.go
+++ b/internal/server/client.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"bambooferry.example/bambooferry/internal/header"
 	"bambooferry.example/bambooferry/internal/socket"
 )
 
@@ -38,5 +39,5 @@
 	}
 	// A redirect is an answer like any other: its address is not one of the catalogue's.
 	returnRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &http.Client{Transport: transport, CheckRedirect: returnRedirect}
+	return &http.Client{Transport: &header.Transport{Transport: transport}, CheckRedirect: returnRedirect}
 }
--- a/internal/server/engine_conn.go
+++ b/internal/server/engine_conn.go
@@ -66,7 +66,7 @@
 		if err := begin(buffered); err != nil {
 			return nil, err
 		}
-		res, err := http.ReadResponse(in, r)
+		res, err := header.ReadResponse(in, r)
 		switch {
 		case err != nil && sendErr != nil:
 			return nil, sendErr
--- /dev/null
+++ b/internal/server/malformed_head_test.go
@@ -0,0 +1,38 @@
+package server
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// requireNoAnswer checks that no path to targets takes a text for an answer.
+func requireNoAnswer(t *testing.T, answers map[string]string) {
+	t.Helper()
+	for name, text := range answers {
+		for path, send := range targetPaths(t, 10) {
+			t.Run(name+", "+path, func(t *testing.T) {
+				body, err := send(startEarlyTarget(t, text, false))
+				require.Error(t, err, "%q", body)
+				require.NotErrorAs(t, err, new(*statusError))
+				if sent := (*sendError)(nil); errors.As(err, &sent) {
+					require.False(t, sent.NotRun, "it does not state that the target did not run the call")
+				}
+			})
+		}
+	}
+}
+
+// TestStatusOutsideHTTPIsNoAnswer guards against a header with a status below 100 that is taken for an informational one, or
+// for an answer.
+func TestStatusOutsideHTTPIsNoAnswer(t *testing.T) {
+	token := "{\"attempt\":1,\"position\":0,\"text\":\"a\"}\n"
+	answers := map[string]string{}
+	for _, status := range []string{"000", "099"} {
+		answers[status+" with a length"] = "HTTP/1.1 " + status + " S\r\nContent-Length: 38\r\n\r\n" + token
+		answers[status+" that states that it was not run"] = "HTTP/1.1 " + status + " S\r\nBambooferry-Outcome: not_run\r\nContent-Length: 0\r\n\r\n"
+		answers[status+" with an answer as its body"] = "HTTP/1.1 " + status + " S\r\nContent-Length: 76\r\n\r\nHTTP/1.1 200 S\r\nContent-Length: 38\r\n\r\n" + token
+	}
+	requireNoAnswer(t, answers)
+}
