Reject a response with a blank in the name of a header field

Callers saw: an engine in trouble sent an answer in whose head the name of a field held a blank or a control byte. The caller got it as an answer, with that line passed on or with a body that was not the engine's. Cause: net/http accepts a blank in or after a name and keeps the name as it is. A Content-Length or Transfer-Encoding with a blank after it does not count, so the body ended with the connection, or chunks were read as text. Change: header.Check rejects such a name, in informational responses too, so all readers of answers do. The relay's rule is "field_name". Result: TestInvalidFieldNameIsNoAnswer fails before in the relay for each case with a blank (a success, the engine's failure, a refusal, an informational response, a stream; directly and through another instance), in internal/server, and for the store and the duties, and passes. Its cases with a control byte pass before and after: net/http rejects these itself. Ruled out: to remove the blank after a name, as RFC 9112 has a proxy do: the body has been delimited without the field by then, and the field shows that the engine's other bytes can't be relied on.

--- a/internal/header/response.go
+++ b/internal/header/response.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
+	"strings"
 )
 
 // minStatus is the lowest status of a response. net/http reads any three digits as one.
@@ -16,6 +18,14 @@
 
 func (e *StatusError) Error() string { return fmt.Sprintf("response with status %03d", e.Status) }
 
+// FieldNameError reports a response in whose header a field has no valid name, so that the field may be one that ends or
+// proves the response.
+type FieldNameError struct{ Name string }
+
+func (e *FieldNameError) Error() string {
+	return fmt.Sprintf("header field name %q is invalid", e.Name)
+}
+
 // ReadResponse reads the header of a response as http.ReadResponse does, and rejects one that Check rejects.
 func ReadResponse(in *bufio.Reader, r *http.Request) (*http.Response, error) {
 	res, err := http.ReadResponse(in, r)
@@ -29,11 +39,21 @@
 }
 
 // Check returns why the header of a response can't be that of a sound one, which net/http accepts, or nil. The error is a
-// *StatusError.
+// *StatusError or a *FieldNameError.
 func Check(res *http.Response) error {
 	if res.StatusCode < minStatus {
 		return &StatusError{Status: res.StatusCode}
 	}
+	return checkNames(res.Header)
+}
+
+// checkNames rejects names with a blank, which net/http keeps as they are, or with a byte that it rejects itself.
+func checkNames[H ~map[string][]string](h H) error {
+	for name := range h {
+		if strings.ContainsFunc(name, func(c rune) bool { return c <= ' ' || c >= 0x7f }) {
+			return &FieldNameError{Name: name}
+		}
+	}
 	return nil
 }
 
@@ -43,7 +63,10 @@
 // RoundTrip sends a request and returns its response.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var conn net.Conn
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
+	trace := &httptrace.ClientTrace{
+		GotConn:        func(info httptrace.GotConnInfo) { conn = info.Conn },
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return checkNames(h) },
+	}
 	res, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
--- a/internal/platform/malformed_head_test.go
+++ b/internal/platform/malformed_head_test.go
@@ -35,3 +35,11 @@
 	requireNoAnswer(t, "000 S")
 	requireNoAnswer(t, "099 S")
 }
+
+// TestInvalidFieldNameIsNoAnswer guards against a header in which the name of a field holds a blank or a control byte, and
+// that is taken for that of an answer.
+func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
+	for _, head := range []string{"200 S\r\nX Note: a", "200 S\r\nX-Note : a", "200 S\r\nX\x01Note: a", "409 S\r\nX Note: a"} {
+		requireNoAnswer(t, head)
+	}
+}
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -232,12 +232,14 @@
 
 // headerError returns the error of reading a header, as a *ResponseError if the header is none of a response.
 func headerError(err error) error {
-	lines, status := (*header.LinesError)(nil), (*header.StatusError)(nil)
+	lines, status, name := (*header.LinesError)(nil), (*header.StatusError)(nil), (*header.FieldNameError)(nil)
 	switch {
 	case errors.As(err, &lines):
 		return &ResponseError{Rule: "header_lines"}
 	case errors.As(err, &status):
 		return &ResponseError{Rule: "status"}
+	case errors.As(err, &name):
+		return &ResponseError{Rule: "field_name"}
 	}
 	return err
 }
--- a/internal/relay/malformed_head_test.go
+++ b/internal/relay/malformed_head_test.go
@@ -67,3 +67,27 @@
 	answers["after early hints"] = "HTTP/1.1 103 S\r\n\r\nHTTP/1.1 000 S\r\nId: ID\r\nSeal: s\r\nContent-Length: 0\r\n\r\n"
 	requireNoAnswer(t, answers)
 }
+
+// TestInvalidFieldNameIsNoAnswer guards against a header in which the name of a field holds a blank or a control byte, and
+// that is passed on, or that is read without the field and gives the answer another body.
+func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
+	answers := map[string]string{
+		"length without its name":   "HTTP/1.1 200 S\r\nId: ID\r\nSeal: s\r\nContent-Length : 4\r\n\r\ndone",
+		"coding without its name":   "HTTP/1.1 200 S\r\nId: ID\r\nSeal: s\r\nTransfer-Encoding : chunked\r\nContent-Length: 14\r\n\r\n4\r\ndone\r\n0\r\n\r\n",
+		"failure":                   "HTTP/1.1 500 S\r\nId: ID\r\nSeal: s\r\nX Note: a\r\nContent-Length: 4\r\n\r\ndone",
+		"refusal":                   "HTTP/1.1 503 S\r\nId: ID\r\nNot-Run: 1\r\nX Note: a\r\nContent-Length: 0\r\n\r\n",
+		"informational response":    "HTTP/1.1 103 S\r\nX Note: a\r\n\r\nHTTP/1.1 200 S\r\nId: ID\r\nSeal: s\r\nContent-Length: 4\r\n\r\ndone",
+		"stream":                    "HTTP/1.1 200 S\r\nId: ID\r\nSeal: s\r\nX Note: a\r\nContent-Type: text/event-stream\r\nContent-Length: 25\r\n\r\n" + eventText(0),
+		"beside lines without a CR": "HTTP/1.1 200 S\nId: ID\nSeal: s\nX Note: a\nContent-Length: 4\n\ndone",
+	}
+	for _, c := range []string{" ", "\t", "\x00", "\x01", "\v", "\r", "\x1b", "\x7f"} {
+		for place, name := range map[string]string{"in": "X" + c + "Note", "before": c + "X-Note", "after": "X-Note" + c} {
+			if c == " " && place == "before" || c == "\t" && place == "before" {
+				// Such a line continues the one before it.
+				continue
+			}
+			answers[fmt.Sprintf("%q %s a name", c, place)] = "HTTP/1.1 200 S\r\nId: ID\r\nSeal: s\r\n" + name + ": a\r\nContent-Length: 4\r\n\r\ndone"
+		}
+	}
+	requireNoAnswer(t, answers)
+}
--- a/internal/server/malformed_head_test.go
+++ b/internal/server/malformed_head_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -36,3 +37,18 @@
 	}
 	requireNoAnswer(t, answers)
 }
+
+// TestInvalidFieldNameIsNoAnswer guards against a header in which the name of a field holds a blank or a control byte, and
+// that is taken for that of an answer.
+func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
+	token := "{\"attempt\":1,\"position\":0,\"text\":\"a\"}\n"
+	answers := map[string]string{
+		"length without its name": "HTTP/1.1 200 S\r\nContent-Length : 38\r\n\r\n" + token,
+		"refusal":                 "HTTP/1.1 503 S\r\nX Note: a\r\nBambooferry-Outcome: not_run\r\nContent-Length: 21\r\n\r\n{\"outcome\":\"not_run\"}",
+		"informational response":  "HTTP/1.1 103 S\r\nX Note: a\r\n\r\nHTTP/1.1 200 S\r\nContent-Length: 38\r\n\r\n" + token,
+	}
+	for _, name := range []string{"X Note", "X-Note ", "X\tNote", "X-Note\t", "X\x00Note", "X\x01Note", "X-Note\x7f", "X\rNote"} {
+		answers[fmt.Sprintf("%q", name)] = "HTTP/1.1 200 S\r\n" + name + ": a\r\nContent-Length: 38\r\n\r\n" + token
+	}
+	requireNoAnswer(t, answers)
+}
