--- a/internal/header/reader.go
+++ b/internal/header/reader.go
@@ -1,4 +1,4 @@
-// Package header bounds what is read of the header of a target's response.
+// Package header bounds what is read of the header of a response, and rejects one that is none of a response.
 package header
 
 import (
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -84,7 +84,7 @@
 	Observe func(kind string, took time.Duration, err error)
 }
 
-// NewHTTPClient returns the HTTP client for a Client. Its connections show a reset as such, also during a write.
+// NewHTTPClient returns the HTTP client for a Client, which rejects broken responses.
 func NewHTTPClient() *http.Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.DialContext = (&socket.Dialer{Dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}}).DialContext
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -1,6 +1,7 @@
-// Package socket closes TCP connections, and reads of their state in the kernel what net does not show.
+// Package socket closes TCP connections, and reads of their state in the kernel what net does not show. The reads of its
+// connections report each loss.
 //
-// It keeps no state and imports nothing of this module.
+// A Conn keeps the error of its writes, under its own lock. The package imports nothing of this module.
 package socket
 
 import (
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -43,9 +43,9 @@
 	Listener net.Listener
 	// IsMember reports whether a listed instance has a key.
 	IsMember func(instance, key string) bool
-	// Connect connects to a target directly, with a connection whose reads report a reset that a write has met first, as a
-	// *socket.Conn's do: the target's answer would look whole otherwise. If confirm is set, it returns that the target refuses connections only if
-	// the own links are shown to be sound after that.
+	// Connect connects to a target directly. If confirm is set, it returns that the target refuses connections only if the
+	// own links are shown to be sound after that. A read of the connection has to report a reset that a write has met
+	// first, as that of a *socket.Conn does; the target's answer would look whole otherwise.
 	Connect func(ctx context.Context, target string, confirm bool) (net.Conn, error)
 	// MaxTunnels bounds the tunnels, each of which has two descriptors and two buffers.
 	MaxTunnels int
