--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -11,7 +11,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// tcpClosed is the state TCP_CLOSE of a connection that was reset or given up, and not only ended by the other end.
+// tcpClosed is the state TCP_CLOSE: the connection was reset or given up, and not only ended by the other end.
 const tcpClosed = 7
 
 // Conn is a connection whose reads report a reset that a write has met before them.
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -21,7 +21,8 @@
 	resetDelay = 20 * time.Millisecond
 )
 
-// Responder answers the header of each request, and leaves a body unread and resets the connection; set its exported fields before Start.
+// Responder answers each request once it has read its header. It leaves a body unread and resets the connection. Set its
+// exported fields before Start.
 type Responder struct {
 	// Answer returns the bytes of the answer.
 	Answer func(r *http.Request) string
