--- a/internal/header/reader.go
+++ b/internal/header/reader.go
@@ -1,4 +1,4 @@
-// Package header bounds what is read of the header of a response, and rejects one that is none of a response.
+// Package header bounds what is read of the header of a response, and rejects invalid ones.
 package header
 
 import (
--- a/internal/header/response.go
+++ b/internal/header/response.go
@@ -13,13 +13,13 @@
 // minStatus is the lowest status of a response. net/http reads any three digits as one.
 const minStatus = 100
 
-// StatusError reports a response whose status is none of HTTP.
+// StatusError reports a response with a status below 100.
 type StatusError struct{ Status int }
 
 func (e *StatusError) Error() string { return fmt.Sprintf("response with status %03d", e.Status) }
 
-// FieldNameError reports a response in whose header a field has no valid name, so that the field may be one that ends or
-// proves the response.
+// FieldNameError reports a response with an invalid field name in its header. net/http does not interpret such a field, which
+// may be the one that delimits the body.
 type FieldNameError struct{ Name string }
 
 func (e *FieldNameError) Error() string {
@@ -38,8 +38,7 @@
 	return res, nil
 }
 
-// Check returns why the header of a response can't be that of a sound one, which net/http accepts, or nil. The error is a
-// *StatusError or a *FieldNameError.
+// Check returns an error for a header that net/http accepts although it violates HTTP: a *StatusError or a *FieldNameError.
 func Check(res *http.Response) error {
 	if res.StatusCode < minStatus {
 		return &StatusError{Status: res.StatusCode}
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -230,7 +230,7 @@
 	return nil, &ResponseError{Rule: "informational"}
 }
 
-// headerError returns the error of reading a header, as a *ResponseError if the header is none of a response.
+// headerError returns the error of reading a header, as a *ResponseError if the header is too long or invalid.
 func headerError(err error) error {
 	lines, status, name := (*header.LinesError)(nil), (*header.StatusError)(nil), (*header.FieldNameError)(nil)
 	switch {
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -14,15 +14,15 @@
 // tcpClosed is the state TCP_CLOSE: the connection was reset or given up, and not only ended by the other end.
 const tcpClosed = 7
 
-// Conn is a connection whose reads report a reset that a write has met before them.
+// Conn is a connection whose reads also report a reset of which a write has received the error.
 //
 // The kernel reports the loss of a connection once. If a write gets that error, the reads that follow return what has
-// arrived and then io.EOF, as if the other end had ended its bytes.
+// arrived and then io.EOF, as if the other end had closed its side.
 type Conn struct {
 	*net.TCPConn
 	// writing is held during a write.
 	writing sync.Mutex
-	// lost is the error with which a write met the loss of the connection before the other end had ended its bytes.
+	// lost is the error of a write on a connection that was lost before the other end had closed its side.
 	lost error
 }
 
@@ -47,14 +47,14 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.TCPConn.Write(b)
-	// EPIPE means that the other end had ended its bytes before it reset the connection.
+	// EPIPE means that the other end had closed its side before it reset the connection.
 	if errno := syscall.Errno(0); errors.As(err, &errno) && errno != syscall.EPIPE && c.lost == nil {
 		c.lost = err
 	}
 	return n, err
 }
 
-// Read reads from the connection. The error is io.EOF only if the other end has ended its bytes.
+// Read reads from the connection. The error is io.EOF only if the other end has closed its side.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
 	if errors.Is(err, io.EOF) {
@@ -71,7 +71,7 @@
 // WriteTo writes what it reads to w; the method of net.TCPConn would bypass Read.
 func (c *Conn) WriteTo(w io.Writer) (int64, error) { return io.Copy(w, struct{ io.Reader }{c}) }
 
-// lostInWrite returns the error with which a write met the loss of the connection, or nil.
+// lostInWrite returns the error of a write on a connection that was lost, or nil.
 func (c *Conn) lostInWrite() error {
 	if !c.isClosed() {
 		return nil
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -44,8 +44,8 @@
 	// IsMember reports whether a listed instance has a key.
 	IsMember func(instance, key string) bool
 	// Connect connects to a target directly. If confirm is set, it returns that the target refuses connections only if the
-	// own links are shown to be sound after that. A read of the connection has to report a reset that a write has met
-	// first, as that of a *socket.Conn does; the target's answer would look whole otherwise.
+	// own links are shown to be sound after that. Reads of the connection have to report a reset of which a
+	// write has received the error, as those of a *socket.Conn do; otherwise the target's answer looks complete.
 	Connect func(ctx context.Context, target string, confirm bool) (net.Conn, error)
 	// MaxTunnels bounds the tunnels, each of which has two descriptors and two buffers.
 	MaxTunnels int
