Begin the test of a late request once the instance has noticed its stop

Callers saw: nothing. Cause: the test takes the stop for begun when it has cancelled the context. Relay.Run notices that later; a request that comes before is served, which is right, and it got its answer. Change: the test waits until the relay notes the stop before it sends. All its checks, its bounds and the requests after that are the same. Result: it passes with the delay (3 runs) and without (5 runs, race detector), and fails with the check of the grace period switched off.

--- a/internal/relay/late_in_grace_test.go
+++ b/internal/relay/late_in_grace_test.go
@@ -36,6 +36,8 @@
 			require.Equal(t, 200, tr.request("POST", "/book/warm", "").status)
 			startedAt := time.Now()
 			tr.stop()
+			// A request that comes before the instance notices the stop is served like any other.
+			require.Eventually(t, func() bool { return tr.relay.stoppingSince.Load() != nil }, c.grace, time.Millisecond)
 			var group sync.WaitGroup
 			answered, refused, closed := 0, 0, 0
 			for n := 0; time.Since(startedAt) < c.grace; n++ {
