Fetch the complete copy if the readers do not know a change

Cause: readers of the store that have restarted announce a revision, but do not know the changes before it and answered with nothing. The others then asked each other, and the answer that one waits restarted the timer for silence, until the timeout of 3 s. After that the complete copy was not asked for.

Change: an answer with nothing leads to the readers and then to the complete copy. An instance that waits counts as progress only if it comes before the asking one in the tree of its data centre, so that no circle waits. changes_not_fetched states what the sources answered.

--- a/internal/feed/catch_up.go
+++ b/internal/feed/catch_up.go
@@ -45,13 +45,24 @@
 
 func (c *ChangesRequest) until() Version { return Version{Era: c.UntilEra, Revision: c.UntilRevision} }
 
-// ChangesReply holds an encoded ChangeMessage, or is empty if the instance does not have the changes.
+// ChangesReply holds an encoded ChangeMessage, or is empty if the instance does not know the changes, although it may have their
+// result: its history begins after them, or its copy came as a whole.
 type ChangesReply struct {
 	Data []byte
 	// Waiting is set if the instance lacks the changes as well, and expects to get them.
 	Waiting bool
 }
 
+// Fetched is the result of a request to other instances.
+type Fetched struct {
+	// Data is an encoded ChangeMessage, and From the instance that sent it; Data is empty if none did.
+	Data []byte
+	From string
+	// Unknown counts the instances that replied that they do not know the changes, and Waiting those that wait for them as well.
+	Unknown int
+	Waiting int
+}
+
 // Changes returns the changes of the copy after a version.
 func (s *SnapshotService) Changes(in *ChangesRequest, out *ChangesReply) error {
 	*out = s.Replicator.changesFor(in)
@@ -132,17 +143,22 @@
 			continue
 		}
 		startedAt := time.Now()
-		data, from, ok := r.Peers.FetchChanges(ctx, request, r.lag.reader)
+		fetched := r.Peers.FetchChanges(ctx, request, r.lag.reader)
 		now := time.Now()
-		if ok && r.applyReply(now, data, from) || ctx.Err() != nil {
+		if r.applyReply(now, &fetched) || ctx.Err() != nil {
 			return
 		}
 		took := now.Sub(startedAt)
 		r.Log.Write(now, timeline.Event{
-			Kind: "changes_not_fetched", Member: from, Revision: request.AfterRevision, Decision: map[bool]string{true: "complete_copy", false: "changes"}[complete],
-			Inputs: []timeline.Input{{Name: "announced_revision", Value: request.UntilRevision}, {Name: "took_ms", Value: took.Milliseconds()}},
+			Kind: "changes_not_fetched", Member: fetched.From, Revision: request.AfterRevision, Decision: map[bool]string{true: "complete_copy", false: "changes"}[complete],
+			Inputs: []timeline.Input{
+				{Name: "announced_revision", Value: request.UntilRevision},
+				{Name: "took_ms", Value: took.Milliseconds()},
+				{Name: "unknown", Value: int64(fetched.Unknown)},
+				{Name: "waiting", Value: int64(fetched.Waiting)},
+			},
 		})
-		if took >= silentSources {
+		if took >= silentSources && fetched.Unknown == 0 {
 			return
 		}
 	}
@@ -158,8 +174,8 @@
 		if version.Revision == 0 && !complete {
 			continue
 		}
-		data, from, ok := r.Peers.FetchChanges(ctx, ChangesRequest{AfterRevision: version.Revision, AfterEra: version.Era, Complete: complete}, "")
-		if ok && r.applyReply(time.Now(), data, from) {
+		fetched := r.Peers.FetchChanges(ctx, ChangesRequest{AfterRevision: version.Revision, AfterEra: version.Era, Complete: complete}, "")
+		if r.applyReply(time.Now(), &fetched) {
 			return true
 		}
 	}
@@ -178,8 +194,12 @@
 }
 
 // applyReply applies the changes or the copy that another instance has sent, and reports whether it could.
-func (r *Replicator) applyReply(now time.Time, data []byte, from string) bool {
-	decoded, err := difference.Decode(nil, data, maxReplySize)
+func (r *Replicator) applyReply(now time.Time, fetched *Fetched) bool {
+	if len(fetched.Data) == 0 {
+		return false
+	}
+	from := fetched.From
+	decoded, err := difference.Decode(nil, fetched.Data, maxReplySize)
 	if err != nil {
 		return false
 	}
--- a/internal/feed/era_test.go
+++ b/internal/feed/era_test.go
@@ -349,7 +349,6 @@
 	}
 }
 
-func (p *replicatorPeer) FetchChanges(_ context.Context, request ChangesRequest, _ string) (data []byte, from string, ok bool) {
-	data = p.replicator.changesFor(&request).Data
-	return data, "a", len(data) > 0
+func (p *replicatorPeer) FetchChanges(_ context.Context, request ChangesRequest, _ string) Fetched {
+	return Fetched{Data: p.replicator.changesFor(&request).Data, From: "a"}
 }
--- a/internal/feed/large_change_test.go
+++ b/internal/feed/large_change_test.go
@@ -93,6 +93,9 @@
 	// limitedUntil is the time until which its link counts as full, in nanoseconds.
 	limitedUntil atomic.Int64
 	calls        atomic.Int64
+	// ended is set once the process of the instance has ended, and stop ends it.
+	ended atomic.Bool
+	stop  func()
 }
 
 // testFleet is a number of instances before one store.
@@ -100,6 +103,8 @@
 	store     *storeStub
 	storeWire *wire
 	instances []*testInstance
+	// mu guards byAddress, which holds the present process at each address.
+	mu        sync.Mutex
 	byAddress map[netip.AddrPort]*testInstance
 	// crossBytes counts what instances send to others in other data centres.
 	crossBytes atomic.Int64
@@ -125,7 +130,7 @@
 
 func (in *testInstance) Range(ctx context.Context, prefix, after string) (Page, error) {
 	in.calls.Add(1)
-	if in.refused.Load() {
+	if in.refused.Load() || in.ended.Load() {
 		return Page{}, errDown
 	}
 	p, err := in.fleet.store.Range(ctx, prefix, after)
@@ -137,7 +142,7 @@
 
 func (in *testInstance) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error) {
 	in.calls.Add(1)
-	if in.refused.Load() {
+	if in.refused.Load() || in.ended.Load() {
 		return Changes{}, errDown
 	}
 	c, err := in.fleet.store.Watch(ctx, prefix, after, wait)
@@ -155,7 +160,10 @@
 
 // Call calls a method of another instance.
 func (in *testInstance) Call(ctx context.Context, to netip.AddrPort, method string, args, reply any) error {
-	other := in.fleet.byAddress[to]
+	other := in.fleet.at(to)
+	if in.ended.Load() || other != nil && other.ended.Load() {
+		return errDown
+	}
 	if other == nil || other.frozen.Load() || in.mute.Load() {
 		<-ctx.Done()
 		return ctx.Err()
@@ -194,16 +202,20 @@
 	if len(data) >= 1400 {
 		return false
 	}
+	if in.ended.Load() {
+		return true
+	}
 	if time.Until(in.wire.passes(0)) > 250*time.Millisecond {
 		in.limitedUntil.Store(time.Now().Add(5 * time.Second).UnixNano())
 	}
-	for _, other := range in.fleet.instances {
-		if other == in {
+	for _, listed := range in.fleet.instances {
+		if listed.address == in.address {
 			continue
 		}
+		other := in.fleet.at(listed.address)
 		in.fleet.send(in, other, len(data))
 		time.AfterFunc(time.Until(in.wire.passes(len(data)))+time.Duration(other.delay.Load()), func() {
-			if !other.deaf.Load() {
+			if !other.deaf.Load() && !other.ended.Load() {
 				other.replicator.HandleMessage(time.Now(), data)
 			}
 		})
@@ -214,37 +226,78 @@
 // startFleet starts n instances in five data centres whose links carry as much as those of the smallest machines.
 func startFleet(t *testing.T, n int, table string) *testFleet {
 	t.Helper()
-	const members = "targets/instances/"
 	f := &testFleet{store: newStoreStub(), storeWire: &wire{bitsPerSecond: 1e9}, byAddress: map[netip.AddrPort]*testInstance{}}
 	f.store.put("operators/table", table)
 	for i := range n {
-		in := &testInstance{fleet: f, number: i, name: fmt.Sprintf("i%d", i), address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000), wire: &wire{bitsPerSecond: 20e6}}
-		in.membership = &Membership{Self: in.address, KeyPrefix: members, Caller: in}
-		in.replicator = &Replicator{Store: in, Peers: in.membership, InstanceName: in.name, IsReader: in.isReader, Broadcast: in.broadcast, MaxBroadcast: 1399, RepeatedPrefix: "operators/", Apply: in.membership.Apply}
+		in := f.newInstance(i)
 		f.instances, f.byAddress[in.address] = append(f.instances, in), in
-		f.store.put(members+in.address.String(), fmt.Sprintf(`{"name":%q,"address":%q,"data_centre":"dc%d"}`, in.name, in.address, i%testDataCentres))
+		f.store.put(membersPrefix+in.address.String(), fmt.Sprintf(`{"name":%q,"address":%q,"data_centre":"dc%d"}`, in.name, in.address, i%testDataCentres))
 	}
 	for _, in := range f.instances {
 		in.replicator.Init()
 	}
 	for _, in := range f.instances {
-		in.recorder = startReplicator(t, in.replicator)
-		ctx, stop := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			_ = in.replicator.RunHeartbeats(ctx)
-		}()
-		t.Cleanup(func() {
-			stop()
-			<-done
-		})
+		in.start(t)
 	}
 	f.requireTable(t, table, 30*time.Second)
 	time.Sleep(WatchWait + watchMargin)
 	return f
 }
 
+// membersPrefix is the prefix of the keys of a testFleet's instances.
+const membersPrefix = "targets/instances/"
+
+func (f *testFleet) newInstance(number int) *testInstance {
+	in := &testInstance{
+		fleet: f, number: number, name: fmt.Sprintf("i%d", number), wire: &wire{bitsPerSecond: 20e6},
+		address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(number >> 8), byte(number)}), 7000),
+	}
+	in.membership = &Membership{Self: in.address, KeyPrefix: membersPrefix, Caller: in}
+	in.replicator = &Replicator{Store: in, Peers: in.membership, InstanceName: in.name, IsReader: in.isReader, Broadcast: in.broadcast, MaxBroadcast: 1399, RepeatedPrefix: "operators/", Apply: in.membership.Apply}
+	return in
+}
+
+// at returns the last process at an address.
+func (f *testFleet) at(address netip.AddrPort) *testInstance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.byAddress[address]
+}
+
+// start runs the replicator of an instance and its heartbeats.
+func (in *testInstance) start(t *testing.T) {
+	t.Helper()
+	in.recorder = startReplicator(t, in.replicator)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = in.replicator.RunHeartbeats(ctx)
+	}()
+	in.stop = func() {
+		stop()
+		<-done
+	}
+	t.Cleanup(in.stop)
+}
+
+// kill ends the process of an instance: it sends and receives nothing any more.
+func (in *testInstance) kill() {
+	in.ended.Store(true)
+	in.stop()
+}
+
+// restart starts a process at the address of one that was killed; its copy is empty.
+func (in *testInstance) restart(t *testing.T) {
+	t.Helper()
+	next := in.fleet.newInstance(in.number)
+	next.replicator.Init()
+	in.fleet.mu.Lock()
+	in.fleet.byAddress[next.address] = next
+	in.fleet.mu.Unlock()
+	next.start(t)
+}
+
 // lagging returns the names of the instances that do not have a table.
 func (f *testFleet) lagging(table string) []string {
 	var list []string
--- a/internal/feed/membership.go
+++ b/internal/feed/membership.go
@@ -244,12 +244,21 @@
 // sourceFanOut is the number of instances of a data centre that fetch changes from the same one.
 const sourceFanOut = 4
 
+// source is an instance from which changes are fetched.
+type source struct {
+	address netip.AddrPort
+	// precedes is set if it comes before this instance in the tree of its data centre, so that it never waits for this one.
+	precedes bool
+	// reads is set if it reads the store for the others.
+	reads bool
+}
+
 // sources returns the instances from which this one fetches changes, in the order in which it asks them.
 //
 // The members of a data centre form a tree in the order of their hashes. Each one asks its parent, then the parent's
 // parent and so on; the root asks the readers, the one that has announced the changes first. Two random members follow,
 // for when those are lost.
-func (m *Membership) sources(reader string) []netip.AddrPort {
+func (m *Membership) sources(reader string) []source {
 	others := m.OtherAddresses()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -259,31 +268,31 @@
 		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
 	})
 	readers := keys[:min(len(keys), readerCount)]
-	var list []netip.AddrPort
+	var list []source
 	if listed {
 		local := slices.DeleteFunc(slices.Clone(keys), func(key string) bool {
 			return m.members[key].DataCentre != own.DataCentre || key != selfKey && slices.Contains(readers, key)
 		})
 		for rank := slices.Index(local, selfKey); rank > 0; {
 			rank = (rank - 1) / sourceFanOut
-			list = append(list, m.members[local[rank]].Address)
+			list = append(list, source{address: m.members[local[rank]].Address, precedes: true})
 		}
 	}
 	first := len(list)
 	for _, key := range readers {
 		if member := m.members[key]; member.Name == reader {
-			list = slices.Insert(list, first, member.Address)
+			list = slices.Insert(list, first, source{address: member.Address, reads: true})
 		} else {
-			list = append(list, member.Address)
+			list = append(list, source{address: member.Address, reads: true})
 		}
 	}
 	for range min(2, len(others)) {
-		list = append(list, others[rand.IntN(len(others))])
+		list = append(list, source{address: others[rand.IntN(len(others))]})
 	}
 	seen := map[netip.AddrPort]bool{m.Self: true}
-	return slices.DeleteFunc(list, func(a netip.AddrPort) bool {
-		known := seen[a]
-		seen[a] = true
+	return slices.DeleteFunc(list, func(s source) bool {
+		known := seen[s.address]
+		seen[s.address] = true
 		return known
 	})
 }
@@ -291,11 +300,16 @@
 // sourceReply is the reply of a source to a request for changes.
 type sourceReply struct {
 	ChangesReply
-	from netip.AddrPort
+	from   source
+	failed bool
 }
 
 // FetchChanges asks the sources of this instance for changes, a further one when one does not have them or takes long.
-func (m *Membership) FetchChanges(ctx context.Context, request ChangesRequest, reader string) (data []byte, from string, ok bool) {
+//
+// A source that waits for the changes itself is waited for only if it comes before this instance in the tree: the first one
+// there stops waiting after silentSources and reads the store, while instances that wait for each other would wait until the
+// timeout. Once a source has replied that it does not know the changes, only the readers can still know them.
+func (m *Membership) FetchChanges(ctx context.Context, request ChangesRequest, reader string) Fetched {
 	sources := m.sources(reader)
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
@@ -303,8 +317,15 @@
 	next, silent := time.NewTimer(0), time.NewTimer(silentSources)
 	defer next.Stop()
 	defer silent.Stop()
+	// unknown fires once the sources that may still know the changes have had the time to reply.
+	unknown := time.NewTimer(catchUpTimeout)
+	defer unknown.Stop()
 	askedAt := time.Now()
-	for pending := 0; pending > 0 || len(sources) > 0; {
+	fetched := Fetched{}
+	// pending counts the sources that have to reply, readers the readers among them and those not yet asked, and waiting holds the
+	// sources that have replied that they wait.
+	pending, readers, waiting := 0, len(onlyReaders(sources)), map[netip.AddrPort]bool{}
+	for pending > 0 || len(sources) > 0 {
 		select {
 		case now := <-next.C:
 			if len(sources) == 0 {
@@ -318,30 +339,60 @@
 		case r := <-replies:
 			switch {
 			case len(r.Data) > 0:
-				return r.Data, r.from.String(), true
+				fetched.Data, fetched.From = r.Data, r.from.address.String()
+				return fetched
 			case r.Waiting:
-				silent.Reset(silentSources)
+				waiting[r.from.address] = true
+				if r.from.precedes {
+					silent.Reset(silentSources)
+				}
 				next.Reset(max(time.Until(askedAt.Add(waitingSource)), 0))
 				go m.askSource(ctx, r.from, &request, replies)
 			default:
 				pending--
+				delete(waiting, r.from.address)
+				if r.from.reads {
+					readers--
+				}
+				if !r.failed && request.until().After(request.after()) {
+					if fetched.Unknown == 0 {
+						unknown.Reset(silentSource)
+						sources = readersFirst(sources)
+					}
+					fetched.Unknown++
+				}
 				next.Reset(0)
 			}
+		case <-unknown.C:
+			return fetched
 		case <-silent.C:
-			return nil, "", false
+			return fetched
 		case <-ctx.Done():
-			return nil, "", false
+			return fetched
+		}
+		fetched.Waiting = len(waiting)
+		if fetched.Unknown > 0 && readers == 0 {
+			return fetched
 		}
 	}
-	return nil, "", false
+	return fetched
+}
+
+func onlyReaders(sources []source) []source {
+	return slices.DeleteFunc(slices.Clone(sources), func(s source) bool { return !s.reads })
+}
+
+// readersFirst returns the sources with the readers before the others.
+func readersFirst(sources []source) []source {
+	return append(onlyReaders(sources), slices.DeleteFunc(sources, func(s source) bool { return s.reads })...)
 }
 
-func (m *Membership) askSource(ctx context.Context, to netip.AddrPort, request *ChangesRequest, replies chan<- sourceReply) {
-	out := ChangesReply{}
-	if m.Caller.Call(ctx, to, "feed.Changes", request, &out) != nil {
-		out = ChangesReply{}
+func (m *Membership) askSource(ctx context.Context, to source, request *ChangesRequest, replies chan<- sourceReply) {
+	reply := sourceReply{from: to}
+	if m.Caller.Call(ctx, to.address, "feed.Changes", request, &reply.ChangesReply) != nil {
+		reply.ChangesReply, reply.failed = ChangesReply{}, true
 	}
-	replies <- sourceReply{ChangesReply: out, from: to}
+	replies <- reply
 }
 
 type snapshotReply struct {
--- a/internal/feed/replicator.go
+++ b/internal/feed/replicator.go
@@ -75,9 +75,8 @@
 	// FetchSnapshotAfter returns a copy newer than a version, with the name of the instance that
 	// sent it; ok is false if none was found.
 	FetchSnapshotAfter(ctx context.Context, after Version) (s Snapshot, from string, ok bool)
-	// FetchChanges returns an encoded ChangeMessage and the name of the instance that sent it. reader is
-	// the instance that has announced the changes; ok is false if none has them.
-	FetchChanges(ctx context.Context, request ChangesRequest, reader string) (data []byte, from string, ok bool)
+	// FetchChanges asks other instances for changes; reader is the one that has announced them.
+	FetchChanges(ctx context.Context, request ChangesRequest, reader string) Fetched
 }
 
 // Replicator keeps a copy of some prefixes of the store; set its exported fields before Run.
--- a/internal/feed/replicator_test.go
+++ b/internal/feed/replicator_test.go
@@ -305,8 +305,8 @@
 	return p.snapshot, "other", p.snapshot.After(after)
 }
 
-func (p *peerClientStub) FetchChanges(context.Context, ChangesRequest, string) (data []byte, from string, ok bool) {
-	return nil, "", false
+func (p *peerClientStub) FetchChanges(context.Context, ChangesRequest, string) Fetched {
+	return Fetched{}
 }
 
 // Guards against an instance that has no table, or a stale one, while it alone cannot reach the
