Mark parts of prompts together if they only came together

Cause: a part was marked for each crash at which it was present, so that two parts of the same requests were both marked after five crashes. Nothing with the sound one ran from then on, and nothing could clear it.

Change: such parts get one mark, which refuses only requests with all of them. A part of it that is served alone is taken out of it. Stored and sent marks name the further parts in a new field.

Ruled out: that it depends on the 30 s in which answers count. A sound part that was never served before was refused as well.

--- a/internal/relay/crash_parts.go
+++ b/internal/relay/crash_parts.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -73,6 +74,8 @@
 	LastMillis  int64 `json:"last_ms"`
 	// RefusedMillis is the time since the last refusal, or 0 if it is not reported.
 	RefusedMillis int64 `json:"refused_ms,omitempty"`
+	// With holds the further parts that a request must have to be refused; builds that do not know it refuse each request with Part.
+	With []string `json:"with,omitempty"`
 }
 
 // Validate reports whether the mark can be used.
@@ -80,15 +83,21 @@
 	if m.Part == "" || len(m.Part) > maxPartBytes || m.Crashes <= 0 || m.LastMillis < 0 || m.RefusedMillis < 0 || m.FirstMillis < m.LastMillis || m.FirstMillis > maxReportAge.Milliseconds() {
 		return &CrashMessageError{Field: "marks"}
 	}
+	if len(m.With) > maxReportedParts || slices.ContainsFunc(m.With, func(part string) bool { return part == "" || len(part) > maxPartBytes }) {
+		return &CrashMessageError{Field: "with"}
+	}
 	return nil
 }
 
+// key identifies the mark by all its parts.
+func (m *markMessage) key() string { return strings.Join(append([]string{m.Part}, m.With...), " ") }
+
 func newMarkMessage(now time.Time, m *booking.PartMark) markMessage {
-	return markMessage{Part: m.Part, Crashes: m.Crashes, FirstMillis: now.Sub(m.FirstCrash).Milliseconds(), LastMillis: now.Sub(m.LastCrash).Milliseconds()}
+	return markMessage{Part: m.Part, With: m.With, Crashes: m.Crashes, FirstMillis: now.Sub(m.FirstCrash).Milliseconds(), LastMillis: now.Sub(m.LastCrash).Milliseconds()}
 }
 
 func (m *markMessage) mark(now time.Time) booking.PartMark {
-	return booking.PartMark{Part: m.Part, Crashes: m.Crashes, FirstCrash: millisBefore(now, m.FirstMillis), LastCrash: millisBefore(now, m.LastMillis)}
+	return booking.PartMark{Part: m.Part, With: m.With, Crashes: m.Crashes, FirstCrash: millisBefore(now, m.FirstMillis), LastCrash: millisBefore(now, m.LastMillis)}
 }
 
 // sharedParts returns the names of the prompt's parts that other prompts may share: all but the last one.
@@ -242,7 +251,7 @@
 		return
 	}
 	c.Log.Write(now, timeline.Event{
-		Kind: "part_marked", Decision: "refuse " + m.Part, Why: source,
+		Kind: "part_marked", Decision: "refuse " + strings.Join(append([]string{m.Part}, m.With...), " with "), Why: source,
 		Inputs: []timeline.Input{
 			{Name: "crashes", Value: int64(m.Crashes)},
 			{Name: "first_ms", Value: now.Sub(m.FirstCrash).Milliseconds()},
--- a/internal/relay/mark_keeper.go
+++ b/internal/relay/mark_keeper.go
@@ -45,8 +45,8 @@
 	Log      *timeline.Writer
 
 	mu sync.Mutex
-	// stored holds the parts that the store has marked, and revision the key's revision, or 0 if it does not exist.
-	stored   map[string]bool
+	// stored holds the marks of the store by their part, as their keys, and revision the revision of Key, or 0 if it does not exist.
+	stored   map[string]string
 	revision int64
 	// unwrittenSince is since when the marks have differed from those at unwrittenRevision, or the zero time.
 	unwrittenSince    time.Time
@@ -99,17 +99,17 @@
 // unless the store was restored from an older copy.
 func (k *MarkKeeper) applyMarks(now time.Time, marks []markMessage, restored bool) {
 	former := k.stored
-	k.stored = map[string]bool{}
+	k.stored = map[string]string{}
 	var added []markMessage
 	for _, m := range marks {
-		k.stored[m.Part] = true
-		if !former[m.Part] {
+		k.stored[m.Part] = m.key()
+		if former[m.Part] != m.key() {
 			added = append(added, m)
 		}
 	}
 	var removed []string
 	for part := range former {
-		if !k.stored[part] && !restored {
+		if k.stored[part] == "" && !restored {
 			removed = append(removed, part)
 		}
 	}
@@ -134,9 +134,9 @@
 // write writes the marks if they differ from the store's.
 func (k *MarkKeeper) write(ctx context.Context, now time.Time) {
 	marks := k.Tracker.markMessages(now)
-	known := map[string]bool{}
+	known := map[string]string{}
 	for i := range marks {
-		known[marks[i].Part] = true
+		known[marks[i].Part] = marks[i].key()
 	}
 	revision, due := k.dueRevision(now, known)
 	if !due {
@@ -159,7 +159,7 @@
 }
 
 // dueRevision reports whether this instance has to write the known parts now, and the revision that it replaces.
-func (k *MarkKeeper) dueRevision(now time.Time, known map[string]bool) (revision int64, due bool) {
+func (k *MarkKeeper) dueRevision(now time.Time, known map[string]string) (revision int64, due bool) {
 	isWriter, rank := k.IsWriter(), k.Rank()
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/relay/mark_keeper_test.go
+++ b/internal/relay/mark_keeper_test.go
@@ -105,6 +105,31 @@
 	require.Equal(t, []string{"bad"}, k.knownParts(now), "a value that can't be read changes nothing")
 }
 
+// Guards against marks that a build of before marks of several parts can't read, or that this one can't read from it. The type is
+// that of 3008a15 and af33a71.
+func TestMarksAreReadByFormerBuilds(t *testing.T) {
+	type formerMark struct {
+		Part          string `json:"part"`
+		Crashes       int    `json:"crashes"`
+		FirstMillis   int64  `json:"first_ms"`
+		LastMillis    int64  `json:"last_ms"`
+		RefusedMillis int64  `json:"refused_ms,omitempty"`
+	}
+	type formerMarks struct {
+		Marks []formerMark `json:"marks"`
+	}
+	data, err := json.Marshal(storedMarks{Marks: []markMessage{{Part: "bad", With: []string{"a"}, Crashes: 3, FirstMillis: 9, LastMillis: 1}}})
+	require.NoError(t, err)
+	former := formerMarks{}
+	require.NoError(t, json.Unmarshal(data, &former))
+	require.Equal(t, []formerMark{{Part: "bad", Crashes: 3, FirstMillis: 9, LastMillis: 1}}, former.Marks)
+	data, err = json.Marshal(former)
+	require.NoError(t, err)
+	read, err := decodeStoredMarks(data)
+	require.NoError(t, err)
+	require.Equal(t, []markMessage{{Part: "bad", Crashes: 3, FirstMillis: 9, LastMillis: 1}}, read.Marks)
+}
+
 // markFleet returns the keepers of instances that all know one marked part, the first two of which are the writers.
 func markFleet(now time.Time, s *markStoreStub, n int) []*MarkKeeper {
 	list := make([]*MarkKeeper, n)
--- a/pkg/booking/partcrash.go
+++ b/pkg/booking/partcrash.go
@@ -14,6 +14,9 @@
 	// minOtherRequests is the number of these crashes at which a request with the part must have been present
 	// that is not the most frequent one: that one may crash its targets by its own text.
 	minOtherRequests = 2
+	// minNarrowingCrashes is the number of separate crashes with only some parts of a mark after which the others are no longer
+	// needed for it; one of them may have another cause.
+	minNarrowingCrashes = 2
 	// commonCauseWindow is the time around a crash in which crashes without the part have a common cause with
 	// it if there are at least minCommonCause, and more than twice as many as with the part.
 	commonCauseWindow = 100 * time.Millisecond
@@ -61,7 +64,8 @@
 // A crash also ends the other requests at the target, which share parts with the guilty one and with
 // requests that are served. A part is marked when different requests with it were present at several
 // separate crashes, no answer to a request with it has begun since the first of these, other answers have,
-// and no other part explains more crashes. While nothing is served, it is marked only if a minority of the
+// and no other part explains more crashes. Parts that came together at all of them are marked together: only requests with
+// all of them are refused, so that a sound one shows by itself that it is sound. While nothing is served, it is marked only if a minority of the
 // requests have it and it was present at most crashes.
 type PartCrashDetector struct {
 	// Retention is how long a crash counts.
@@ -93,6 +97,21 @@
 	part    string
 }
 
+// has reports whether a request with a part was lost in the crash.
+func (c *targetCrash) has(part string) bool {
+	return slices.ContainsFunc(c.participants, func(p participant) bool { return p.part == part })
+}
+
+// explainedBy reports whether a request with all parts of a mark was lost in the crash.
+func (c *targetCrash) explainedBy(m *PartMark) bool {
+	return slices.ContainsFunc(c.participants, func(p participant) bool { return p.part == m.Part && c.hasTogether(p.request, m.With) })
+}
+
+// hasTogether reports whether a request that was lost in the crash has some parts.
+func (c *targetCrash) hasTogether(request string, parts []string) bool {
+	return !slices.ContainsFunc(parts, func(part string) bool { return !slices.Contains(c.participants, participant{request, part}) })
+}
+
 // answer is an answer that went on, as seen at a time.
 type answer struct {
 	begunAt time.Time
@@ -168,11 +187,7 @@
 		c.participants = slices.DeleteFunc(c.participants, func(p participant) bool { return p.part == part })
 		cleared = cleared || len(c.participants) < n
 	}
-	if m := d.marks[part]; m != nil && begunAt.After(m.FirstCrash) {
-		delete(d.marks, part)
-		cleared = true
-	}
-	return cleared
+	return d.clearMarks(begunAt, part) || cleared
 }
 
 // RecordArrival records that a request arrived at this instance.
--- a/pkg/booking/partevidence.go
+++ b/pkg/booking/partevidence.go
@@ -14,6 +14,8 @@
 	present int
 	first   time.Time
 	last    time.Time
+	// counted holds the separate crashes.
+	counted []int
 	// requests holds the requests with the part at each counted crash.
 	requests [][]string
 }
@@ -46,6 +48,7 @@
 	}
 	d.undecided, d.decidedAt = false, now
 	d.dropExpired(now)
+	d.narrowMarks()
 	var marked []PartMark
 	for {
 		list := d.evidence()
@@ -54,18 +57,50 @@
 		}
 		most := slices.MaxFunc(list, func(a, b *partEvidence) int { return cmp.Compare(a.crashes, b.crashes) }).crashes
 		list = slices.DeleteFunc(list, func(e *partEvidence) bool { return e.crashes < most || !d.isSufficient(now, e) })
-		if len(list) == 0 || len(list) > 1 && most < minServedPartCrashes {
-			// Parts that were present together so far may still be told apart.
+		groups := d.groupCompanions(list)
+		if len(groups) == 0 || len(groups) > 1 && most < minServedPartCrashes {
+			// Parts of different requests that were present together so far may still be told apart.
 			return marked
 		}
-		for _, e := range list {
+		for _, g := range groups {
+			e := g[0]
 			m := PartMark{Part: e.part, Crashes: e.crashes, FirstCrash: e.first, LastCrash: e.last}
+			for _, companion := range g[1:] {
+				m.With = append(m.With, companion.part)
+			}
 			d.setMark(now, m)
 			marked = append(marked, m)
 		}
 	}
 }
 
+// groupCompanions groups the parts that were present at the same crashes in the same requests. The first part of each group is
+// the one whose last answer is the longest ago.
+func (d *PartCrashDetector) groupCompanions(list []*partEvidence) [][]*partEvidence {
+	slices.SortFunc(list, func(a, b *partEvidence) int {
+		return cmp.Or(d.served[a.part].Compare(d.served[b.part]), cmp.Compare(a.part, b.part))
+	})
+	var groups [][]*partEvidence
+	for _, e := range list {
+		i := slices.IndexFunc(groups, func(g []*partEvidence) bool { return d.cameTogether(g, e) })
+		if i < 0 {
+			groups = append(groups, []*partEvidence{e})
+		} else {
+			groups[i] = append(groups[i], e)
+		}
+	}
+	return groups
+}
+
+// cameTogether reports whether each counted crash of a group of parts has a request with all of them and a further one.
+func (d *PartCrashDetector) cameTogether(group []*partEvidence, e *partEvidence) bool {
+	m := PartMark{Part: group[0].part, With: []string{e.part}}
+	for _, companion := range group[1:] {
+		m.With = append(m.With, companion.part)
+	}
+	return !slices.ContainsFunc(group[0].counted, func(i int) bool { return !d.crashes[i].explainedBy(&m) })
+}
+
 // isSufficient reports whether the evidence against a part suffices to mark it.
 func (d *PartCrashDetector) isSufficient(now time.Time, e *partEvidence) bool {
 	if e.otherRequests() < minOtherRequests {
@@ -95,7 +130,7 @@
 	present := map[string][]int{}
 	for i := range d.crashes {
 		c := &d.crashes[i]
-		if slices.ContainsFunc(c.participants, func(p participant) bool { return d.marks[p.part] != nil }) {
+		if d.isExplained(c) {
 			continue
 		}
 		for _, p := range c.participants {
@@ -116,6 +151,14 @@
 	return list
 }
 
+// isExplained reports whether a marked part explains a crash.
+func (d *PartCrashDetector) isExplained(c *targetCrash) bool {
+	return slices.ContainsFunc(c.participants, func(p participant) bool {
+		m := d.marks[p.part]
+		return m != nil && c.hasTogether(p.request, m.With)
+	})
+}
+
 // partEvidence returns the evidence against a part that was present at the given crashes.
 func (d *PartCrashDetector) partEvidence(part string, present []int) *partEvidence {
 	e := &partEvidence{part: part, present: len(present)}
@@ -128,7 +171,7 @@
 			e.first = c.at
 		}
 		e.crashes++
-		e.last = c.at
+		e.last, e.counted = c.at, append(e.counted, i)
 		var requests []string
 		for _, p := range c.participants {
 			if p.part == part {
