Count a lost request as a crash once its target's entry shows it

Cause: a refused connection counts only if another instance gets it and reaches another target of the pool, of which it tried one. While the same request has ended the others too, no instance can show that its links are sound, and the crash was forgotten.

Change: such a loss is held at all instances until the list of targets shows what became of the target. It counts if another incarnation has the address, or if the entry of a target that refused connections ends, unless the target has stated that it leaves. Calls that end in silence are held too.

Ruled out: that more tries alone suffice. With all other engines away there is none to reach.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -291,6 +291,8 @@
 	}
 	if result.Unreachable && a.sent && reason == reasonConnectionLost {
 		a.relay.checkForCrash(a)
+	} else if a.lostInSilence(complete, reason) {
+		a.relay.reportUnconfirmed(a, now, false)
 	}
 	if complete && !a.info.NotRun {
 		a.relay.Crashes.recordServed(a.req)
@@ -363,6 +365,12 @@
 	return a.sent && !a.relay.Links.lostSince(a.target).IsZero()
 }
 
+// lostInSilence reports whether the attempt ended without any answer, though nobody ended it: its target may have crashed and
+// taken its connections with it.
+func (a *attempt) lostInSilence(complete bool, reason string) bool {
+	return a.sent && !complete && a.res == nil && reason != reasonConnectionLost && (a.wentSilent || a.pastDeadline(time.Now()))
+}
+
 // carrier names the instance that carried the attempt, or is empty.
 func (a *attempt) carrier() string {
 	if a.conn == nil {
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -49,19 +49,24 @@
 	return nil, err
 }
 
+// maxLinkChecks is the number of other targets that are connected to in one check of the links. Some may have ended as well, and
+// refuse connections at once.
+const maxLinkChecks = 3
+
 // linksAreSound reports whether another target of a target's pool is reached directly after a time; if there is no other
 // one, nothing speaks against it.
 func (r *Relay) linksAreSound(ctx context.Context, t route.Target, since time.Time) bool {
-	others := r.Targets.othersOf(since, t, 1)
+	others := r.Targets.othersOf(since, t, maxLinkChecks)
 	if len(others) == 0 || r.Links.contactAt(t.Pool).After(since) {
 		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, carriedDialTimeout)
 	defer cancel()
-	c, err := r.targetConns.dialDirect(ctx, others[0])
-	if err != nil {
-		return false
+	for _, other := range others {
+		if c, err := r.targetConns.dialDirect(ctx, other); err == nil {
+			r.targetConns.put(time.Now(), newConn(c, other, r.Links, ""), 0)
+			return true
+		}
 	}
-	r.targetConns.put(time.Now(), newConn(c, others[0], r.Links, ""), 0)
-	return true
+	return false
 }
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net/netip"
 	"strconv"
 	"sync"
 	"syscall"
@@ -38,6 +39,11 @@
 	mu      sync.Mutex
 	counter booking.CrashCounter
 	parts   partMarks
+	// unconfirmed holds losses at targets that may have crashed.
+	unconfirmed booking.UnconfirmedCrashes
+	// pools holds the targets that are listed, and targets the same by their addresses, or nil until it is needed.
+	pools   map[string][]route.Target
+	targets map[netip.AddrPort][]listedTarget
 }
 
 // crashMessage notifies other instances of a crash, of answers that clear requests or parts, or of marks.
@@ -56,6 +62,15 @@
 	// ServedParts holds the time since the last answer to a request with a part began, in milliseconds.
 	ServedParts map[string]int64 `json:"served_parts,omitempty"`
 	Marks       []markMessage    `json:"marks,omitempty"`
+	// Unconfirmed is set if Target may not have crashed. Builds that do not know it ignore the message.
+	Unconfirmed *unconfirmedMessage `json:"unconfirmed,omitempty"`
+}
+
+// unconfirmedMessage holds what is known of a loss beside the fields of its crashMessage.
+type unconfirmedMessage struct {
+	Address netip.AddrPort `json:"address"`
+	Refused bool           `json:"refused,omitempty"`
+	Parts   []string       `json:"parts,omitempty"`
 }
 
 // Validate reports whether a message can be used.
@@ -63,7 +78,7 @@
 	if m.Digest != "" && (m.AgeMillis < 0 || m.AttemptAgeMillis < m.AgeMillis || m.AttemptAgeMillis > maxReportAge.Milliseconds()) {
 		return &CrashMessageError{Field: "begun_ms"}
 	}
-	if len(m.Parts) > maxReportedParts {
+	if len(m.Parts) > maxReportedParts || m.Unconfirmed != nil && len(m.Unconfirmed.Parts) > maxReportedParts {
 		return &CrashMessageError{Field: "parts"}
 	}
 	for _, age := range m.ServedParts {
@@ -148,6 +163,11 @@
 		c.mu.Lock()
 		c.counter.RecordSuccess(message.Digest)
 		c.mu.Unlock()
+	case message.Unconfirmed != nil:
+		c.recordUnconfirmed(now, booking.UnconfirmedCrash{
+			Target: message.Target, Address: message.Unconfirmed.Address, Refused: message.Unconfirmed.Refused, Request: message.Digest, Parts: message.Unconfirmed.Parts,
+			LostAt: millisBefore(now, message.AgeMillis), StartedAt: millisBefore(now, message.AttemptAgeMillis),
+		})
 	case message.Certain:
 		c.recordCrash(millisBefore(now, message.AgeMillis), millisBefore(now, message.AttemptAgeMillis), message.Target, message.Digest)
 	}
@@ -179,6 +199,9 @@
 			}
 		}
 		r.logCrashCheck(time.Now(), a, lostAt, err)
+		if err != nil && !isCrash(err) {
+			r.reportUnconfirmed(a, lostAt, isRefusal(err))
+		}
 		if !isCrash(err) {
 			return
 		}
@@ -191,23 +214,34 @@
 		if parts := a.suspectParts(lostAt); len(parts) > 0 && r.Crashes.recordPartCrash(time.Now(), booking.PartCrash{Target: a.target.ID, At: lostAt, Request: digest, Parts: parts}) {
 			message.Parts = parts
 		}
-		for _, pause := range crashReportPauses {
-			if !sleepFor(r.probeContext, pause) {
-				return
-			}
-			now := time.Now()
-			message.AgeMillis, message.AttemptAgeMillis = now.Sub(lostAt).Milliseconds(), now.Sub(a.startedAt).Milliseconds()
-			r.Crashes.broadcast(&message)
-		}
+		r.reportCrash(a, lostAt, &message)
 	})
 }
 
+// reportCrash broadcasts a message on a crash several times.
+func (r *Relay) reportCrash(a *attempt, lostAt time.Time, message *crashMessage) {
+	for _, pause := range crashReportPauses {
+		if !sleepFor(r.probeContext, pause) {
+			return
+		}
+		now := time.Now()
+		message.AgeMillis, message.AttemptAgeMillis = now.Sub(lostAt).Milliseconds(), now.Sub(a.startedAt).Milliseconds()
+		r.Crashes.broadcast(message)
+	}
+}
+
 // UnconfirmedRefusalError reports that a target refuses connections from this instance, and that no other one has
 // confirmed it: the links of this instance may be cut.
 type UnconfirmedRefusalError struct{ Err error }
 
 func (e *UnconfirmedRefusalError) Error() string { return "not confirmed: " + e.Err.Error() }
 
+// isRefusal reports whether the result of a new connection is a refusal, which may not be the target's own.
+func isRefusal(err error) bool {
+	unconfirmed := (*UnconfirmedRefusalError)(nil)
+	return errors.As(err, &unconfirmed) && errors.Is(unconfirmed.Err, syscall.ECONNREFUSED)
+}
+
 // PathLostError reports that the direct path to a target is lost.
 type PathLostError struct{ Target string }
 
--- a/internal/relay/crashes_test.go
+++ b/internal/relay/crashes_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"bambooferry.example/bambooferry/pkg/booking"
+	"bambooferry.example/bambooferry/pkg/route"
 )
 
 // Guards against a request that crashes one engine after another because instances and callers
@@ -97,3 +99,41 @@
 	}
 	require.False(t, tracker.counter.IsMarked(now.Add(2*time.Second), "d"))
 }
+
+// Guards against requests that are refused since their path was lost, although their target went on or left by itself, and against
+// crashes that never count since no target can be reached.
+func TestLossesCountOnceTheirTargetHasEnded(t *testing.T) {
+	address := netip.MustParseAddrPort("127.0.0.1:9")
+	entry := func(id string, leaving bool) route.Target {
+		return route.Target{ID: id, Pool: "p", Address: address, Leaving: leaving}
+	}
+	for name, c := range map[string]struct {
+		next []route.Target
+		want bool
+	}{
+		"listed":   {[]route.Target{entry("e1", false)}, false},
+		"leaving":  {[]route.Target{entry("e1", true)}, false},
+		"replaced": {[]route.Target{entry("e2", false)}, true},
+		"gone":     {nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker, now := &CrashTracker{}, time.Now()
+			for n := range 3 {
+				at := now.Add(time.Duration(n) * 4 * time.Second)
+				tracker.ObserveTargets(at, map[string][]route.Target{"p": {entry("e1", false)}})
+				tracker.HandleMessage(at, []byte(`{"digest":"d","target":"e1","age_ms":100,"begun_ms":900,"unconfirmed":{"address":"127.0.0.1:9","refused":true}}`))
+				require.False(t, tracker.counter.IsMarked(at, "d"))
+				tracker.ObserveTargets(at.Add(time.Second), map[string][]route.Target{"p": c.next})
+				if name == "leaving" {
+					tracker.ObserveTargets(at.Add(1100*time.Millisecond), nil)
+				}
+			}
+			require.Equal(t, c.want, tracker.counter.IsMarked(now.Add(10*time.Second), "d"))
+		})
+	}
+	tracker, now := &CrashTracker{}, time.Now()
+	for range 3 {
+		tracker.HandleMessage(now, []byte(`{"digest":"d","target":"e1","age_ms":100,"begun_ms":900,"unconfirmed":{"address":"127.0.0.1:9","refused":true}}`))
+	}
+	require.True(t, tracker.unconfirmed.Empty(), "a target that is not listed may have been replaced before the request began")
+}
--- a/internal/relay/crashing_part_test.go
+++ b/internal/relay/crashing_part_test.go
@@ -38,6 +38,7 @@
 	mu         sync.Mutex
 	generation int
 	crashed    bool
+	crashedAt  time.Time
 	listener   net.Listener
 	conns      map[net.Conn]bool
 }
@@ -48,6 +49,12 @@
 	engines []*crashingEngine
 	relays  []*testRelay
 
+	// downTime is how long an engine that has crashed is away, and entryTime how long its entry outlasts it.
+	downTime  time.Duration
+	entryTime time.Duration
+
+	publishing sync.Mutex
+
 	mu       sync.Mutex
 	crashes  []time.Time
 	arrivals map[string]int
@@ -57,16 +64,11 @@
 
 func startCrashingCluster(t *testing.T, relays, engines int) *crashingCluster {
 	t.Helper()
-	c := &crashingCluster{t: t, arrivals: map[string]int{}}
-	for range engines {
-		e := &crashingEngine{cluster: c, conns: map[net.Conn]bool{}}
-		require.NoError(t, e.start())
-		c.engines = append(c.engines, e)
-		t.Cleanup(e.stop)
-	}
+	c := &crashingCluster{t: t, downTime: 1500 * time.Millisecond}
 	for range relays {
 		c.relays = append(c.relays, startRelay(t))
 	}
+	c.startEngines(engines)
 	for _, tr := range c.relays {
 		tr.relay.Crashes.Broadcast = func(data []byte) bool {
 			for _, other := range c.relays {
@@ -77,16 +79,32 @@
 			return true
 		}
 	}
-	c.publish()
 	return c
 }
 
-// publish gives the current incarnations of all engines to all relays.
+// startEngines starts the engines and lists them.
+func (c *crashingCluster) startEngines(n int) {
+	c.t.Helper()
+	c.arrivals = map[string]int{}
+	for range n {
+		e := &crashingEngine{cluster: c, conns: map[net.Conn]bool{}}
+		require.NoError(c.t, e.start())
+		c.engines = append(c.engines, e)
+		c.t.Cleanup(e.stop)
+	}
+	c.publish()
+}
+
+// publish gives the current incarnations of all engines to all relays, without those that have been away for long.
 func (c *crashingCluster) publish() {
+	c.publishing.Lock()
+	defer c.publishing.Unlock()
 	var list []route.Target
 	for i, e := range c.engines {
 		e.mu.Lock()
-		list = append(list, route.Target{ID: e.id(), Pool: "p", Address: e.address, DataCentre: string(rune('a' + i%3)), Slots: 8})
+		if !e.crashed || c.entryTime == 0 || time.Since(e.crashedAt) < c.entryTime {
+			list = append(list, route.Target{ID: e.id(), Pool: "p", Address: e.address, DataCentre: string(rune('a' + i%3)), Slots: 8})
+		}
 		e.mu.Unlock()
 	}
 	table := testRelayTable()
@@ -142,6 +160,9 @@
 	e.mu.Lock()
 	again := e.crashed
 	e.crashed = true
+	if !again {
+		e.crashedAt = time.Now()
+	}
 	e.mu.Unlock()
 	if again {
 		return
@@ -150,7 +171,10 @@
 	e.cluster.mu.Lock()
 	e.cluster.crashes = append(e.cluster.crashes, time.Now())
 	e.cluster.mu.Unlock()
-	time.AfterFunc(1500*time.Millisecond, func() {
+	if e.cluster.entryTime > 0 {
+		time.AfterFunc(e.cluster.entryTime, e.cluster.publish)
+	}
+	time.AfterFunc(e.cluster.downTime, func() {
 		if e.start() == nil {
 			e.cluster.publish()
 		}
@@ -165,9 +189,20 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
 			return
 		}
+		if strings.HasPrefix(r.URL.Path, "/book/") {
+			e.cluster.recordArrival(r.Header.Get("Id"), string(body) == "poison")
+			time.Sleep(30 * time.Millisecond)
+			if string(body) == "poison" {
+				e.crash()
+				return
+			}
+			writeResponse(conn, r, http.StatusOK, "fine", "Seal: s")
+			continue
+		}
 		bad := slices.Contains(strings.Split(r.Header.Get("Parts"), ","), crashingPart)
 		e.cluster.recordArrival(r.Header.Get("Id"), bad)
 		time.Sleep(100 * time.Millisecond)
--- a/internal/relay/harness_test.go
+++ b/internal/relay/harness_test.go
@@ -283,6 +283,8 @@
 		Rank: func(key string) int { return (int(xxhash.Sum64String(key)%uint64(instances)) + index) % instances },
 		Seed: uint64(index) + 1, Links: links,
 	}
+	crashes := &CrashTracker{}
+	targets.ObserveTargets = crashes.ObserveTargets
 	links.DataCentre, links.Seed, links.Log = "a", uint64(index)+1, log
 	table := testRelayTable()
 	var list []route.Target
@@ -292,7 +294,7 @@
 	targets.Update(time.Now(), table, map[string][]route.Target{"p": list})
 	TableKey.Put(board, table)
 	tr := &testRelay{t: t, callerAddress: callerListener.Addr().String(), readinessAddress: readinessListener.Addr().String(), done: make(chan error, 1), log: lines}
-	tr.relay = &Relay{Links: links, DataCentre: "a", CallerListener: callerListener, ReadinessListener: readinessListener, Codec: testCodec{}, Board: board, Targets: targets, Crashes: &CrashTracker{}, Log: log, GracePeriod: 4 * time.Second, DeregistrationDelay: 100 * time.Millisecond}
+	tr.relay = &Relay{Links: links, DataCentre: "a", CallerListener: callerListener, ReadinessListener: readinessListener, Codec: testCodec{}, Board: board, Targets: targets, Crashes: crashes, Log: log, GracePeriod: 4 * time.Second, DeregistrationDelay: 100 * time.Millisecond}
 	ctx, stop := context.WithCancel(context.Background())
 	tr.stop = stop
 	go func() { tr.done <- tr.relay.Run(ctx) }()
--- a/internal/relay/targets.go
+++ b/internal/relay/targets.go
@@ -50,6 +50,8 @@
 	// Links holds what is known of this instance's links to targets; it may be nil.
 	Links *Links
 
+	// ObserveTargets, if set, is called with the targets of each Update.
+	ObserveTargets func(now time.Time, targets map[string][]route.Target)
 	// ObserveResult, if set, is called with the result of each attempt for a pool.
 	ObserveResult func(now time.Time, pool string, r version.Result)
 
@@ -116,6 +118,9 @@
 // Update applies the pools of a table and the targets of each pool.
 func (r *TargetRegistry) Update(now time.Time, table *route.Table, targets map[string][]route.Target) {
 	changed := r.ProgressChanged()
+	if r.ObserveTargets != nil {
+		r.ObserveTargets(now, targets)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.progressChanged = changed
