Share answers, so that little traffic suffices to find a crashing part

Cause: an instance judges crashes, which are shared, by its own answers, which are not. With one stream in 2 s at 8 instances none had enough, though all together had.

Change: instances share answers until they know of eight of others within 5 s. A part is also marked if it was at more crashes than its share among the answers explains by chance (1 in 1,000; five crashes and two known answers at least). Three crashes without a part at the same moment have a common cause with as many with it, or fewer.

Ruled out: a share of arrivals. The requests with the part are most of the arrivals here.

--- a/internal/relay/crash_parts.go
+++ b/internal/relay/crash_parts.go
@@ -194,7 +194,7 @@
 		// Answers of other kinds of targets say nothing about these.
 		return
 	}
-	served := map[string]int64(nil)
+	served, shares := map[string]int64(nil), false
 	withLock(&c.mu, func() {
 		c.parts.init()
 		cleared := c.parts.detector.RecordAnswer(now, begunAt, parts)
@@ -202,13 +202,26 @@
 			delete(c.parts.reportedServed, part)
 		}
 		served = c.servedParts(now, cleared)
+		shares = c.parts.detector.SharesAnswer(now, c.instances())
 	})
-	if len(served) > 0 {
-		c.broadcast(&crashMessage{ServedParts: served})
+	message := crashMessage{ServedParts: served}
+	if shares {
+		message.Answers = []answerMessage{{BegunMillis: max(now.Sub(begunAt).Milliseconds(), 0), Parts: parts}}
+	}
+	if len(served) > 0 || shares {
+		c.broadcast(&message)
 	}
 	c.decide(now)
 }
 
+// instances returns the number of instances.
+func (c *CrashTracker) instances() int {
+	if c.Instances == nil {
+		return 1
+	}
+	return c.Instances()
+}
+
 // servedParts returns which of some parts have recently been served and when, unless that was reported just
 // before; the caller holds mu.
 func (c *CrashTracker) servedParts(now time.Time, parts []string) map[string]int64 {
@@ -331,6 +344,9 @@
 	for part, age := range message.ServedParts {
 		c.parts.detector.RecordServed(now, millisBefore(now, age), part)
 	}
+	for i := range message.Answers {
+		c.parts.detector.RecordOtherAnswer(now, millisBefore(now, message.Answers[i].BegunMillis), message.Answers[i].Parts)
+	}
 	for i := range message.Marks {
 		if m := message.Marks[i].mark(now); c.parts.detector.Mark(now, m) {
 			c.reportMark(now, &m, "instance")
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -35,6 +35,8 @@
 	Metrics *metrics.Set
 	// Broadcast sends a message to the other instances; it may be nil.
 	Broadcast func(data []byte) bool
+	// Instances returns the number of instances; if it is nil, there is no other one.
+	Instances func() int
 
 	mu      sync.Mutex
 	counter booking.CrashCounter
@@ -62,6 +64,8 @@
 	// ServedParts holds the time since the last answer to a request with a part began, in milliseconds.
 	ServedParts map[string]int64 `json:"served_parts,omitempty"`
 	Marks       []markMessage    `json:"marks,omitempty"`
+	// Answers holds answers of the sender that went on.
+	Answers []answerMessage `json:"answers,omitempty"`
 	// Unconfirmed is set if Target may not have crashed. Builds that do not know it ignore the message.
 	Unconfirmed *unconfirmedMessage `json:"unconfirmed,omitempty"`
 }
@@ -73,6 +77,20 @@
 	Parts   []string       `json:"parts,omitempty"`
 }
 
+// answerMessage is an answer that went on: the time since it began, and the parts of the prompt that other requests may share.
+type answerMessage struct {
+	BegunMillis int64    `json:"begun_ms"`
+	Parts       []string `json:"parts,omitempty"`
+}
+
+// Validate reports whether an answer can be used.
+func (m *answerMessage) Validate() error {
+	if m.BegunMillis < 0 || m.BegunMillis > maxReportAge.Milliseconds() || len(m.Parts) > maxReportedParts {
+		return &CrashMessageError{Field: "answers"}
+	}
+	return nil
+}
+
 // Validate reports whether a message can be used.
 func (m *crashMessage) Validate() error {
 	if m.Digest != "" && (m.AgeMillis < 0 || m.AttemptAgeMillis < m.AgeMillis || m.AttemptAgeMillis > maxReportAge.Milliseconds()) {
@@ -86,6 +104,11 @@
 			return &CrashMessageError{Field: "served_parts"}
 		}
 	}
+	for i := range m.Answers {
+		if err := m.Answers[i].Validate(); err != nil {
+			return err
+		}
+	}
 	for i := range m.Marks {
 		if err := m.Marks[i].Validate(); err != nil {
 			return err
--- a/internal/relay/crashes_test.go
+++ b/internal/relay/crashes_test.go
@@ -137,3 +137,44 @@
 	}
 	require.True(t, tracker.unconfirmed.Empty(), "a target that is not listed may have been replaced before the request began")
 }
+
+// Guards against a part that is not refused since each instance has only seen a few answers, though all together have seen enough.
+func TestAnswersOfOtherInstancesCount(t *testing.T) {
+	now := time.Now()
+	trackers := make([]*CrashTracker, 8)
+	for i := range trackers {
+		trackers[i] = &CrashTracker{Instances: func() int { return len(trackers) }}
+		trackers[i].Broadcast = func(data []byte) bool {
+			for j, other := range trackers {
+				if j != i {
+					other.HandleMessage(now, data)
+				}
+			}
+			return true
+		}
+	}
+	request := func(parts ...string) *callerRequest {
+		req := &callerRequest{route: &route.Route{Kind: route.Streaming}}
+		for _, part := range append(parts, "own") {
+			req.PromptParts = append(req.PromptParts, PromptPart{ID: part})
+		}
+		return req
+	}
+	for i := range 8 {
+		now = now.Add(2 * time.Second)
+		trackers[i].recordAnswer(now, now.Add(-time.Second), request("template"))
+	}
+	for n := range 5 {
+		now = now.Add(300 * time.Millisecond)
+		crash := booking.PartCrash{Target: fmt.Sprint("e", n), At: now, Request: fmt.Sprint("r", n), Parts: []string{"template", "bad"}}
+		trackers[0].recordPartCrash(now, crash)
+		for _, other := range trackers[1:] {
+			other.HandleMessage(now, []byte(fmt.Sprintf(`{"digest":"r%d","target":"e%d","parts":["template","bad"]}`, n, n)))
+		}
+	}
+	now = now.Add(time.Second)
+	for i, tracker := range trackers {
+		require.NotNil(t, tracker.refusal(now, request("template", "bad")), "instance %d", i)
+		require.Nil(t, tracker.refusal(now, request("template")), "instance %d", i)
+	}
+}
--- a/pkg/booking/partcrash.go
+++ b/pkg/booking/partcrash.go
@@ -18,9 +18,9 @@
 	// needed for it; one of them may have another cause.
 	minNarrowingCrashes = 2
 	// commonCauseWindow is the time around a crash in which crashes without the part have a common cause with
-	// it if there are at least minCommonCause, and more than twice as many as with the part.
+	// it if there are at least minCommonCause, and as many as with the part.
 	commonCauseWindow = 100 * time.Millisecond
-	minCommonCause    = 4
+	minCommonCause    = 3
 	// separateCrashes is the least time between two crashes that count as separate, since targets that are
 	// lost at the same moment have a common cause.
 	separateCrashes = 200 * time.Millisecond
@@ -43,6 +43,21 @@
 	minArrivals = 16
 	// decideInterval is the least time between two decisions, since a lost data centre means thousands of reports.
 	decideInterval = 50 * time.Millisecond
+	// answerMemory is how long an answer counts for the share of a part among those to be expected.
+	answerMemory = 10 * time.Minute
+	// maxChance is the chance of the crashes of a part, if it had been at as many as its share among the answers makes likely, up to
+	// which it is marked without answers since.
+	maxChance = 1e-3
+	// minKnownAnswers is the number of answers that must be known to judge a part by its share among them.
+	minKnownAnswers = 2
+	// sharedAnswers is the number of answers within sharedAnswerTime from which on an instance shares no more of its own with others.
+	sharedAnswers    = 8
+	sharedAnswerTime = 5 * time.Second
+	// unthinnedAnswers is the number of own answers within sharedAnswerTime up to which an instance may share each of them.
+	unthinnedAnswers = 3
+	// answerSharers is the number of answers that all instances together share if none hears of the others' in time, in multiples of
+	// sharedAnswers.
+	answerSharers = 4
 	// maxMarkAge is how long a part is refused at most, so that a repaired target is found.
 	maxMarkAge = 24 * time.Hour
 )
@@ -78,6 +93,8 @@
 	// served holds when the last answer to a request with a part began that went on.
 	served  map[string]time.Time
 	answers []answer
+	// ownAnswers counts the answers of this instance.
+	ownAnswers int
 	// arrivals holds the parts of the last requests at this instance.
 	arrivals [][]string
 	// undecided is set when something was recorded since the last decision, at decidedAt.
@@ -116,6 +133,10 @@
 type answer struct {
 	begunAt time.Time
 	seenAt  time.Time
+	// parts are the parts of the prompt that other requests may share.
+	parts []string
+	// own is set for an answer of this instance.
+	own bool
 }
 
 // RecordCrash records that a request was lost in a crash.
@@ -152,10 +173,41 @@
 // RecordAnswer records that an answer to a request of this instance began at a time and went on, and returns
 // the parts that it clears of suspicion.
 func (d *PartCrashDetector) RecordAnswer(now, begunAt time.Time, parts []string) (cleared []string) {
+	d.ownAnswers++
+	return d.recordAnswer(now, answer{begunAt: begunAt, seenAt: now, parts: parts, own: true})
+}
+
+// RecordOtherAnswer records an answer that another instance has shared.
+func (d *PartCrashDetector) RecordOtherAnswer(now, begunAt time.Time, parts []string) (cleared []string) {
+	return d.recordAnswer(now, answer{begunAt: begunAt, seenAt: now, parts: parts})
+}
+
+// SharesAnswer reports whether this instance is to share the answer that it recorded last, one of a number of instances. Few
+// answers are needed to tell a part that crashes targets from targets that crash for all requests, so those of a fleet with
+// little traffic are shared, and of one with much traffic some.
+func (d *PartCrashDetector) SharesAnswer(now time.Time, instances int) bool {
+	known, own := 0, 0
+	for _, a := range d.answers {
+		if now.Sub(a.seenAt) >= sharedAnswerTime {
+			continue
+		}
+		if a.own {
+			own++
+		} else {
+			known++
+		}
+	}
+	// Few own answers say little about the traffic of the others.
+	expected := max(own-unthinnedAnswers, 0) * instances
+	return known < sharedAnswers && d.ownAnswers%max(expected/(answerSharers*sharedAnswers), 1) == 0
+}
+
+func (d *PartCrashDetector) recordAnswer(now time.Time, a answer) (cleared []string) {
 	if len(d.answers) >= maxPartCrashes {
 		d.answers = d.answers[1:]
 	}
-	d.answers = append(d.answers, answer{begunAt: begunAt, seenAt: now})
+	d.answers = append(d.answers, a)
+	begunAt, parts := a.begunAt, a.parts
 	for _, part := range parts {
 		if d.RecordServed(now, begunAt, part) {
 			cleared = append(cleared, part)
--- a/pkg/booking/partcrash_model_test.go
+++ b/pkg/booking/partcrash_model_test.go
@@ -36,6 +36,14 @@
 	// limits bound the reports of each instance.
 	limits []*rate.Limiter
 
+	// maxAttempts is the number of attempts of a request.
+	maxAttempts int
+	// sharesNothing is set if instances do not share their answers, and sharedAnswers counts those that were shared.
+	sharesNothing bool
+	sharedAnswers int
+	// shareRNG is a source of its own, so that sharing does not change what else happens.
+	shareRNG *rand.Rand
+
 	crashes     []time.Time
 	badArrivals []time.Time
 }
@@ -68,7 +76,7 @@
 )
 
 func newPartModel(seed uint64, instances, engines int) *partModel {
-	m := &partModel{network: map[time.Time][]modelMessage{}, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), lossRate: 0.1, guilty: map[string]bool{}, poison: map[string]bool{}}
+	m := &partModel{network: map[time.Time][]modelMessage{}, rng: rand.New(rand.NewPCG(seed, 1)), shareRNG: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1000, 0), lossRate: 0.1, maxAttempts: 5, guilty: map[string]bool{}, poison: map[string]bool{}}
 	for range instances {
 		m.detectors = append(m.detectors, &PartCrashDetector{Retention: 10 * time.Minute, MarkTime: 10 * time.Minute})
 		m.limits = append(m.limits, rate.NewLimiter(10, 20))
@@ -96,6 +104,16 @@
 	}
 }
 
+// broadcastOnce delivers a message to all other instances, with losses.
+func (m *partModel) broadcastOnce(from int, deliver func(to int, d *PartCrashDetector)) {
+	at := m.now.Add(20 * time.Millisecond)
+	for to := range m.detectors {
+		if to != from && m.shareRNG.Float64() >= m.lossRate {
+			m.network[at] = append(m.network[at], modelMessage{to, deliver})
+		}
+	}
+}
+
 func (m *partModel) announce(from int, marks []PartMark) {
 	for _, mark := range marks {
 		m.broadcast(from, func(_ int, d *PartCrashDetector) { d.Mark(m.now, mark) })
@@ -141,7 +159,7 @@
 			up = append(up, e)
 		}
 	}
-	if len(up) == 0 || run.attempts >= 5 {
+	if len(up) == 0 || run.attempts >= m.maxAttempts {
 		return
 	}
 	if m.isBad(run) {
@@ -222,6 +240,11 @@
 					for _, part := range m.detectors[run.instance].RecordAnswer(m.now, run.beginsAt, run.parts) {
 						m.reportServed(run.instance, part, run.beginsAt)
 					}
+					if !m.sharesNothing && m.detectors[run.instance].SharesAnswer(m.now, len(m.detectors)) {
+						m.sharedAnswers++
+						begunAt, parts := run.beginsAt, run.parts
+						m.broadcastOnce(run.instance, func(_ int, d *PartCrashDetector) { d.RecordOtherAnswer(m.now, begunAt, parts) })
+					}
 				}
 				return m.now.Sub(run.beginsAt) >= modelAnswer
 			})
@@ -360,3 +383,82 @@
 		}
 	}
 }
+
+// Guards against a guilty part that is not found while there is little other traffic, since no instance has seen enough answers by
+// itself.
+func TestGuiltyPartIsFoundWithLittleTraffic(t *testing.T) {
+	for _, c := range []struct {
+		instances, engines int
+		soundRate, badRate float64
+		before, after      time.Duration
+		seeds              int
+		template           bool
+	}{
+		{instances: 8, engines: 12, soundRate: 0.5, badRate: 1, before: 15 * time.Second, after: 60 * time.Second, seeds: 200, template: true},
+		{instances: 8, engines: 12, soundRate: 0.5, badRate: 0.2, before: 15 * time.Second, after: 120 * time.Second, seeds: 200, template: true},
+		{instances: 6, engines: 12, soundRate: 1. / 3, badRate: 1. / 3, before: 20 * time.Second, after: 120 * time.Second, seeds: 200, template: true},
+		{instances: 8, engines: 12, soundRate: 0.5, badRate: 1, before: 30 * time.Second, after: 60 * time.Second, seeds: 200},
+		{instances: 30, engines: 40, soundRate: 0.2, badRate: 1, before: 120 * time.Second, after: 60 * time.Second, seeds: 50, template: true},
+		{instances: 295, engines: 300, soundRate: 0.2, badRate: 1, before: 120 * time.Second, after: 30 * time.Second, seeds: 5, template: true},
+	} {
+		t.Run(fmt.Sprintf("%d instances, %.1f sound, %.1f bad, template %t", c.instances, c.soundRate, c.badRate, c.template), func(t *testing.T) {
+			worst, sum := 0, 0
+			for seed := range modelSeeds(c.instances, c.seeds) {
+				m := newPartModel(uint64(seed), c.instances, c.engines)
+				if c.template {
+					m.newParts = func(*partModel) []string { return []string{"template"} }
+				}
+				// A request is refused after it has crashed three targets.
+				m.maxAttempts = 3
+				m.run(c.before, c.soundRate, 0)
+				m.guilty["guilty"] = true
+				m.run(c.after, c.soundRate, c.badRate)
+				late := m.lateArrivals()
+				worst, sum = max(worst, late), sum+late
+				if late > 3 {
+					t.Errorf("seed %d: %d late, %d crashes", seed, late, len(m.crashes))
+				}
+			}
+			t.Logf("late arrivals: %d in all, %d at most", sum, worst)
+		})
+	}
+}
+
+// Guards against sound parts that are refused since engines end one by one, for reasons of their own, while few or many requests run:
+// in 1,000 hours of each kind of traffic.
+func TestSoundPartsAreNotMarkedByUnrelatedCrashes(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		rate     float64
+		newParts func(m *partModel) []string
+	}{
+		{"little traffic, one template", 0.2, func(*partModel) []string { return []string{"template"} }},
+		{"little traffic, rare documents", 0.2, func(m *partModel) []string {
+			return []string{"template", fmt.Sprintf("document-%d", m.rng.IntN(30))}
+		}},
+		{"more traffic, skewed", 3, partDistributions["skewed"]},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			hours := 4
+			if raceDetector {
+				hours = 1
+			}
+			crashes := 0
+			for seed := range uint64(hours) {
+				m := newPartModel(seed, 6, 8)
+				m.newParts = c.newParts
+				for range 60 {
+					// One engine after another ends within a minute, which happens once a quarter of an hour or less often.
+					m.run(40*time.Second, c.rate, 0)
+					for range 4 {
+						m.run(5*time.Second, c.rate, 0)
+						m.crashShare(1. / 8)
+					}
+					require.Empty(t, m.marks(), "seed %d", seed)
+				}
+				crashes += len(m.crashes)
+			}
+			t.Logf("%d crashes", crashes)
+		})
+	}
+}
--- a/pkg/booking/partevidence.go
+++ b/pkg/booking/partevidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -118,10 +119,48 @@
 			begunSince++
 		}
 	}
+	if d.explainsOutage(e) || d.exceedsChance(now, e) {
+		return true
+	}
 	if _, served := d.LastServed(now, e.part); served || recent < minRecentAnswers {
-		return e.crashes >= minServedPartCrashes && begunSince >= minAnswersSince || d.explainsOutage(e)
+		return e.crashes >= minServedPartCrashes && begunSince >= minAnswersSince
+	}
+	return e.crashes >= minPartCrashes && seenSince > 0
+}
+
+// exceedsChance reports whether a part was present at more crashes than it would be if its requests did not cause them: each one lost
+// in a crash then has the part as often as those that were answered.
+func (d *PartCrashDetector) exceedsChance(now time.Time, e *partEvidence) bool {
+	if e.crashes < minServedPartCrashes || 10*e.present < 9*len(d.crashes) {
+		return false
+	}
+	known, with := 0, 0
+	for _, a := range d.answers {
+		if now.Sub(a.seenAt) < answerMemory {
+			known++
+			if slices.Contains(a.parts, e.part) {
+				with++
+			}
+		}
+	}
+	if known < minKnownAnswers {
+		return false
+	}
+	// One answer with the part and one without it are assumed beside those that are known.
+	without, chance := 1-float64(with+1)/float64(known+2), 1.0
+	for _, i := range e.counted {
+		chance *= 1 - math.Pow(without, float64(d.crashes[i].requestCount()))
+	}
+	return chance <= maxChance
+}
+
+// requestCount returns the number of requests that were lost in the crash.
+func (c *targetCrash) requestCount() int {
+	requests := map[string]bool{}
+	for _, p := range c.participants {
+		requests[p.request] = true
 	}
-	return e.crashes >= minPartCrashes && seenSince > 0 || d.explainsOutage(e)
+	return len(requests)
 }
 
 // evidence returns what the crashes that no marked part explains say about the parts that were present at
@@ -200,7 +239,7 @@
 		}
 	}
 	without := to - from - with
-	return without >= minCommonCause && without > 2*with
+	return without >= minCommonCause && without >= with
 }
 
 // explainsOutage reports whether a part that few requests have was present at most crashes. That holds also
