Refuse what crashes targets for as long as it comes, but for trials

A part that comes once in 5 minutes was never refused, and a mark of a sound one never tested.

Cause: crashes against a request were forgotten after 30 s, those against a part after 10 min. Nothing but time could end a mark.

Change: both count for 2 h. Single requests test a mark from 10 min after the last crash on, at longer and longer intervals, begun by one instance at a time; an answer ends it everywhere. Refused requests are kept in the store beside the marked parts. A crash at the moment of three others, of targets that did not run the request, no longer counts against it.

Ruled out: trials after 30 s, as long as a request was refused before. They end two engines more in the first hour.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -243,6 +243,7 @@
 // finish keeps or closes the connection and records the result of the attempt.
 func (a *attempt) finish(now time.Time, result engine.RequestResult, complete bool, reason string) {
 	a.finished = true
+	a.endTrial()
 	took := now.Sub(a.startedAt)
 	// Another request may use the connection as soon as it is kept.
 	connInputs, carrierLost := a.connInputs(), a.conn != nil && a.conn.carrierLost
--- a/internal/relay/crash_parts.go
+++ b/internal/relay/crash_parts.go
@@ -17,10 +17,11 @@
 )
 
 const (
-	// partRetention is how long a crash counts against the parts of the prompts that were present.
-	partRetention = 10 * time.Minute
+	// partRetention is how long a crash counts against the parts of the prompts that were present: a part may come back once in some
+	// minutes.
+	partRetention = 2 * time.Hour
 	// partMarkTime is how long a part is refused after the last request with it.
-	partMarkTime = 10 * time.Minute
+	partMarkTime = 2 * time.Hour
 	// maxReportAge bounds the ages in messages.
 	maxReportAge = 24 * time.Hour
 	// maxReportedParts bounds the parts of one prompt that are considered.
@@ -39,8 +40,9 @@
 	// at once when a data centre fails.
 	partReportsPerSecond = 10
 	partReportBurst      = 20
-	// refusalReportInterval is the time between two reports that a part is still refused.
-	refusalReportInterval = partMarkTime / 5
+	// refusalReportInterval is the time between two reports that a part or a request is still refused, from which instances that have
+	// started meanwhile learn it.
+	refusalReportInterval = 2 * time.Minute
 	// markRepeatTime is how long an instance repeats a mark that it has set.
 	markRepeatTime = 3 * time.Second
 )
@@ -76,6 +78,27 @@
 	RefusedMillis int64 `json:"refused_ms,omitempty"`
 	// With holds the further parts that a request must have to be refused; builds that do not know it refuse each request with Part.
 	With []string `json:"with,omitempty"`
+	trialMessage
+}
+
+// trialMessage holds the trials of a mark: their number and the time since the last one.
+type trialMessage struct {
+	Trials      int   `json:"trials,omitempty"`
+	TrialMillis int64 `json:"trial_ms,omitempty"`
+}
+
+func newTrialMessage(now time.Time, t booking.Trials) trialMessage {
+	if t.Count == 0 {
+		return trialMessage{}
+	}
+	return trialMessage{Trials: t.Count, TrialMillis: max(now.Sub(t.LastAt).Milliseconds(), 0)}
+}
+
+func (m *trialMessage) trials(now time.Time) booking.Trials {
+	if m.Trials <= 0 {
+		return booking.Trials{}
+	}
+	return booking.Trials{Count: m.Trials, LastAt: millisBefore(now, min(max(m.TrialMillis, 0), maxReportAge.Milliseconds()))}
 }
 
 // Validate reports whether the mark can be used.
@@ -89,15 +112,17 @@
 	return nil
 }
 
-// key identifies the mark by all its parts.
-func (m *markMessage) key() string { return strings.Join(append([]string{m.Part}, m.With...), " ") }
+// key identifies the mark by all its parts and its trials.
+func (m *markMessage) key() string {
+	return strings.Join(append([]string{m.Part, strconv.Itoa(m.Trials)}, m.With...), " ")
+}
 
 func newMarkMessage(now time.Time, m *booking.PartMark) markMessage {
-	return markMessage{Part: m.Part, With: m.With, Crashes: m.Crashes, FirstMillis: now.Sub(m.FirstCrash).Milliseconds(), LastMillis: now.Sub(m.LastCrash).Milliseconds()}
+	return markMessage{Part: m.Part, With: m.With, Crashes: m.Crashes, FirstMillis: now.Sub(m.FirstCrash).Milliseconds(), LastMillis: now.Sub(m.LastCrash).Milliseconds(), trialMessage: newTrialMessage(now, m.Trials)}
 }
 
 func (m *markMessage) mark(now time.Time) booking.PartMark {
-	return booking.PartMark{Part: m.Part, With: m.With, Crashes: m.Crashes, FirstCrash: millisBefore(now, m.FirstMillis), LastCrash: millisBefore(now, m.LastMillis)}
+	return booking.PartMark{Part: m.Part, With: m.With, Crashes: m.Crashes, FirstCrash: millisBefore(now, m.FirstMillis), LastCrash: millisBefore(now, m.LastMillis), Trials: m.trials(now)}
 }
 
 // sharedParts returns the names of the prompt's parts that other prompts may share: all but the last one.
@@ -156,7 +181,7 @@
 		return nil
 	}
 	c.parts.detector.RecordRefusal(now, m.Part)
-	refusal := notRunRefusal(codePartCrashes, partMarkTime)
+	refusal := notRunRefusal(codePartCrashes, max(m.NextTrial().Sub(now), minMarkedRetryAfter))
 	refusal.Part = m.Part
 	return refusal
 }
@@ -289,7 +314,7 @@
 	for _, m := range c.parts.detector.Marks(now) {
 		message := newMarkMessage(now, &m)
 		switch lastReport := c.parts.reportedRefusal[m.Part]; {
-		case c.parts.own[m.Part] && now.Sub(m.MarkedAt) < markRepeatTime:
+		case c.parts.own[m.Part] && (now.Sub(m.MarkedAt) < markRepeatTime || now.Sub(m.Trials.LastAt) < markRepeatTime):
 			repeated = append(repeated, message)
 		case m.RefusedAt.After(m.MarkedAt) && m.RefusedAt.After(lastReport) && now.Sub(lastReport) >= refusalReportInterval:
 			c.parts.reportedRefusal[m.Part] = now
@@ -302,6 +327,7 @@
 	for _, m := range repeated {
 		c.broadcast(&crashMessage{Marks: []markMessage{m}})
 	}
+	c.repeatTrials(now)
 }
 
 // dropUnmarked deletes the state of marks that no longer exist; the caller holds the lock.
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -21,10 +21,11 @@
 )
 
 const (
-	// crashRetention is how long a crash counts against a request; its caller repeats it within seconds.
-	crashRetention = 30 * time.Second
-	// markedRetryAfter is the time after which a caller may retry a request that crashes targets.
-	markedRetryAfter = crashRetention
+	// crashRetention is how long a crash counts against a request: one that is repeated by a schedule may come back once in some minutes.
+	crashRetention = 2 * time.Hour
+	// minMarkedRetryAfter is the least time after which a caller may retry a request that crashes targets; it is told when the next
+	// trial may begin.
+	minMarkedRetryAfter = 30 * time.Second
 )
 
 // CrashTracker tracks which requests, and which parts of prompts, crash the targets that run them, at this
@@ -35,8 +36,10 @@
 	Metrics *metrics.Set
 	// Broadcast sends a message to the other instances; it may be nil.
 	Broadcast func(data []byte) bool
-	// Instances returns the number of instances; if it is nil, there is no other one.
+	// Instances returns the number of instances, and Rank the rank of this one in an order of all that depends on a key, from 0, or -1
+	// if it is not listed; if they are nil, there is no other one.
 	Instances func() int
+	Rank      func(key string) int
 
 	mu      sync.Mutex
 	counter booking.CrashCounter
@@ -46,6 +49,10 @@
 	// pools holds the targets that are listed, and targets the same by their addresses, or nil until it is needed.
 	pools   map[string][]route.Target
 	targets map[netip.AddrPort][]listedTarget
+	// refusalReports holds when this instance last reported that it refuses a request.
+	refusalReports map[string]time.Time
+	// ownTrials holds the requests of which this instance has begun trials just now.
+	ownTrials []string
 }
 
 // crashMessage notifies other instances of a crash, of answers that clear requests or parts, or of marks.
@@ -64,6 +71,8 @@
 	// ServedParts holds the time since the last answer to a request with a part began, in milliseconds.
 	ServedParts map[string]int64 `json:"served_parts,omitempty"`
 	Marks       []markMessage    `json:"marks,omitempty"`
+	// trialMessage holds the trials of the request with Digest, if it is refused.
+	trialMessage
 	// Answers holds answers of the sender that went on.
 	Answers []answerMessage `json:"answers,omitempty"`
 	// Unconfirmed is set if Target may not have crashed. Builds that do not know it ignore the message.
@@ -140,6 +149,9 @@
 // refusal returns the refusal of a request that crashes targets, or whose prompt has a part that does, or
 // nil.
 func (c *CrashTracker) refusal(now time.Time, req *callerRequest) *Refusal {
+	if req.trial.Load() == trialAdmitted {
+		return nil
+	}
 	if refusal := c.partRefusal(now, req); refusal != nil {
 		return refusal
 	}
@@ -148,7 +160,7 @@
 	if c.counter.Empty() || !c.counter.IsMarked(now, req.digest()) {
 		return nil
 	}
-	return notRunRefusal(codeCrashes, markedRetryAfter)
+	return notRunRefusal(codeCrashes, max(c.counter.NextTrial(req.digest()).Sub(now), minMarkedRetryAfter))
 }
 
 // recordCrash records a crash and reports whether it marks the request.
@@ -186,6 +198,10 @@
 		c.mu.Lock()
 		c.counter.RecordSuccess(message.Digest)
 		c.mu.Unlock()
+	case message.Trials > 0:
+		c.mu.Lock()
+		c.counter.RecordTrials(message.Digest, message.trials(now))
+		c.mu.Unlock()
 	case message.Unconfirmed != nil:
 		c.recordUnconfirmed(now, booking.UnconfirmedCrash{
 			Target: message.Target, Address: message.Unconfirmed.Address, Refused: message.Unconfirmed.Refused, Request: message.Digest, Parts: message.Unconfirmed.Parts,
--- a/internal/relay/crashes_test.go
+++ b/internal/relay/crashes_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -178,3 +179,47 @@
 		require.Nil(t, tracker.refusal(now, request("template")), "instance %d", i)
 	}
 }
+
+// Guards against a request that is refused for good although its targets were repaired, and against one that crashes more than one
+// target in a trial.
+func TestRefusedRequestIsTestedByOneAttempt(t *testing.T) {
+	for _, repaired := range []bool{false, true} {
+		var runs atomic.Int32
+		var stubs []*engineStub
+		for i := range 4 {
+			var e *engineStub
+			e = startStub(t, fmt.Sprintf("e%d", i), func(c net.Conn, r *http.Request, _ string) bool {
+				runs.Add(1)
+				if !repaired {
+					_ = e.closeListener()
+					return false
+				}
+				return writeResponse(c, r, 200, "fine", "Seal: s")
+			})
+			stubs = append(stubs, e)
+		}
+		tr := startRelay(t, stubs...)
+		req := &callerRequest{http: mustRequest(t, "POST", "/view/1", "poison"), RequestInfo: RequestInfo{APIKey: "k"}, body: []byte("poison")}
+		for n := range 3 {
+			at := time.Now().Add(-time.Hour + time.Duration(n)*time.Second)
+			tr.relay.Crashes.recordCrash(at, at.Add(-100*time.Millisecond), fmt.Sprint("former", n), req.digest())
+		}
+		got := tr.request("POST", "/view/1", "poison")
+		require.EqualValues(t, 1, runs.Load(), "repaired %t: %+v", repaired, got)
+		got = tr.request("POST", "/view/1", "poison")
+		if repaired {
+			require.Equal(t, 200, got.status)
+		} else {
+			require.Equal(t, http.StatusServiceUnavailable, got.status)
+			require.EqualValues(t, 1, runs.Load())
+		}
+	}
+}
+
+func mustRequest(t *testing.T, method, path, body string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequest(method, path, strings.NewReader(body))
+	require.NoError(t, err)
+	r.Host, r.RequestURI = "h.example", path
+	return r
+}
--- a/internal/relay/mark_keeper.go
+++ b/internal/relay/mark_keeper.go
@@ -30,7 +30,7 @@
 	Commit(ctx context.Context, conditions []feed.Condition, writes []feed.Write) (feed.Version, error)
 }
 
-// MarkKeeper keeps the marked parts of prompts in the platform's store, so that instances that start later,
+// MarkKeeper keeps the marked parts of prompts, and the requests that are refused, in the platform's store, so that instances that start later,
 // or all at once, know them before they serve; set its exported fields before the first Apply.
 type MarkKeeper struct {
 	Store MarkStore
@@ -45,8 +45,10 @@
 	Log      *timeline.Writer
 
 	mu sync.Mutex
-	// stored holds the marks of the store by their part, as their keys, and revision the revision of Key, or 0 if it does not exist.
+	// stored holds the keys of the marks in the store by their part, and requests those of the refused requests by their digest;
+	// revision is the revision of Key, or 0 if it does not exist.
 	stored   map[string]string
+	requests map[string]string
 	revision int64
 	// unwrittenSince is since when the marks have differed from those at unwrittenRevision, or the zero time.
 	unwrittenSince    time.Time
@@ -58,6 +60,8 @@
 // storedMarks is the value of the key; ages are as of its writing.
 type storedMarks struct {
 	Marks []markMessage `json:"marks"`
+	// Requests holds the requests that are refused. It is missing in values that former builds have written.
+	Requests []requestMark `json:"requests"`
 }
 
 func decodeStoredMarks(data []byte) (*storedMarks, error) {
@@ -70,6 +74,11 @@
 			return nil, err
 		}
 	}
+	for i := range out.Requests {
+		if err := out.Requests[i].Validate(); err != nil {
+			return nil, err
+		}
+	}
 	return out, nil
 }
 
@@ -86,12 +95,14 @@
 				return
 			}
 			k.applyMarks(now, marks.Marks, update.Restored)
+			k.applyRequests(now, marks.Requests, update.Restored || marks.Requests == nil)
 			return
 		}
 	}
 	if update.Full || slices.Contains(update.Removed, k.Key) {
 		k.revision = 0
 		k.applyMarks(now, nil, update.Restored)
+		k.applyRequests(now, nil, update.Restored)
 	}
 }
 
@@ -116,6 +127,27 @@
 	k.Tracker.applyStored(now, added, removed)
 }
 
+// applyRequests applies the refused requests of the store, as applyMarks does the marks. If it is incomplete, what it lacks is still
+// refused, and written again.
+func (k *MarkKeeper) applyRequests(now time.Time, marks []requestMark, incomplete bool) {
+	former := k.requests
+	k.requests = map[string]string{}
+	var added []requestMark
+	for _, m := range marks {
+		k.requests[m.Digest] = m.key()
+		if former[m.Digest] != m.key() {
+			added = append(added, m)
+		}
+	}
+	var removed []string
+	for digest := range former {
+		if k.requests[digest] == "" && !incomplete {
+			removed = append(removed, digest)
+		}
+	}
+	k.Tracker.applyStoredRequests(now, added, removed)
+}
+
 // Run repeats the marks to the other instances and writes them until ctx ends.
 func (k *MarkKeeper) Run(ctx context.Context) error {
 	tick := time.NewTicker(keepInterval)
@@ -138,11 +170,16 @@
 	for i := range marks {
 		known[marks[i].Part] = marks[i].key()
 	}
-	revision, due := k.dueRevision(now, known)
+	requests := k.Tracker.requestMarks(now)
+	knownRequests := map[string]string{}
+	for i := range requests {
+		knownRequests[requests[i].Digest] = requests[i].key()
+	}
+	revision, due := k.dueRevision(now, known, knownRequests)
 	if !due {
 		return
 	}
-	value, err := json.Marshal(storedMarks{Marks: marks})
+	value, err := json.Marshal(storedMarks{Marks: marks, Requests: requests})
 	if err != nil {
 		return
 	}
@@ -155,15 +192,15 @@
 	} else if err != nil {
 		decision, why = "tried_again", "store_failed"
 	}
-	k.Log.Write(now, timeline.Event{Kind: "part_marks_kept", Decision: decision, Why: why, Inputs: []timeline.Input{{Name: "parts", Value: int64(len(marks))}, {Name: "store_revision", Value: revision}}})
+	k.Log.Write(now, timeline.Event{Kind: "part_marks_kept", Decision: decision, Why: why, Inputs: []timeline.Input{{Name: "parts", Value: int64(len(marks))}, {Name: "requests", Value: int64(len(requests))}, {Name: "store_revision", Value: revision}}})
 }
 
-// dueRevision reports whether this instance has to write the known parts now, and the revision that it replaces.
-func (k *MarkKeeper) dueRevision(now time.Time, known map[string]string) (revision int64, due bool) {
+// dueRevision reports whether this instance has to write the known parts and requests now, and the revision that it replaces.
+func (k *MarkKeeper) dueRevision(now time.Time, known, requests map[string]string) (revision int64, due bool) {
 	isWriter, rank := k.IsWriter(), k.Rank()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if maps.Equal(known, k.stored) {
+	if maps.Equal(known, k.stored) && maps.Equal(requests, k.requests) {
 		k.unwrittenSince = time.Time{}
 		return 0, false
 	}
--- a/internal/relay/mark_keeper_test.go
+++ b/internal/relay/mark_keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -105,6 +106,43 @@
 	require.Equal(t, []string{"bad"}, k.knownParts(now), "a value that can't be read changes nothing")
 }
 
+// Guards against a request that crashes targets and is let through by each instance that starts later, or after the loss of all
+// instances.
+func TestRefusedRequestsSurviveTheLossOfAllInstances(t *testing.T) {
+	ctx, now, store := context.Background(), time.Now(), &markStoreStub{}
+	k := newMarkKeeper(store)
+	k.Apply(now, store.update(false))
+	for n := range 3 {
+		age := 1000 * (3 - n)
+		k.Tracker.HandleMessage(now, []byte(fmt.Sprintf(`{"digest":"d","certain":true,"target":"e%d","age_ms":%d,"begun_ms":%d}`, n, age-90, age)))
+	}
+	k.write(ctx, now)
+	k.Apply(now, store.update(false))
+
+	now = now.Add(time.Minute)
+	next := newMarkKeeper(store)
+	next.Apply(now, store.update(false))
+	require.True(t, next.Tracker.counter.IsMarked(now, "d"))
+
+	// A former build drops the field; the request is still refused, and written again.
+	store.item.Value, store.item.Revision = []byte(`{"marks":[]}`), store.item.Revision+1
+	next.Apply(now, store.update(false))
+	require.True(t, next.Tracker.counter.IsMarked(now, "d"))
+	next.write(ctx, now)
+	require.Contains(t, string(store.item.Value), `"digest":"d"`)
+	next.Apply(now, store.update(false))
+	k.Apply(now, store.update(false))
+
+	// One that was served by one instance is not refused any more at all.
+	k.Tracker.HandleMessage(now, []byte(`{"digest":"d","served":true}`))
+	k.write(ctx, now)
+	next.Apply(now, store.update(false))
+	require.False(t, next.Tracker.counter.IsMarked(now, "d"))
+	calls := store.calls
+	next.write(ctx, now)
+	require.Equal(t, calls, store.calls, "it is not written again")
+}
+
 // Guards against marks that a build of before marks of several parts can't read, or that this one can't read from it. The type is
 // that of 3008a15 and af33a71.
 func TestMarksAreReadByFormerBuilds(t *testing.T) {
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -44,6 +44,8 @@
 	poolName  string
 	startedAt time.Time
 	deadline  time.Time
+	// trial is trialAdmitted while the request runs to test a mark.
+	trial atomic.Int32
 	// attemptCount is the number of attempts so far.
 	attemptCount int
 	// needsNewConn is set when an attempt is silent, or was lost on a kept connection that brought nothing: other kept
@@ -85,7 +87,7 @@
 		return
 	}
 	r.Crashes.recordArrival(req)
-	if refusal := r.Crashes.refusal(now, req); refusal != nil {
+	if refusal := r.Crashes.admit(now, req); refusal != nil {
 		r.refuse(w, req, refusal)
 		return
 	}
--- a/pkg/booking/crashcounter.go
+++ b/pkg/booking/crashcounter.go
@@ -1,6 +1,7 @@
 package booking
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -14,12 +15,22 @@
 //
 // A request counts as the cause only if its attempts crashed targets one after another and none
 // finished in between: many requests with the same content may be lost when several targets crash
-// at once.
+// at once. A crash beside those of other targets at the same moment does not count.
 type CrashCounter struct {
 	// Retention is how long a crash counts.
 	Retention time.Duration
 
 	attempts map[string][]crashedAttempt
+	// trials holds the trials of requests that are refused.
+	trials map[string]*Trials
+	// crashes holds the last crashes of targets, whatever requests they ran.
+	crashes []crashedTarget
+}
+
+// crashedTarget is a crash of a target.
+type crashedTarget struct {
+	target string
+	at     time.Time
 }
 
 // crashedAttempt is an attempt to run a request whose target crashed.
@@ -29,8 +40,11 @@
 	crashedAt time.Time
 }
 
-// maxCrashedAttempts bounds the attempts kept of one request.
-const maxCrashedAttempts = 32
+const (
+	// maxCrashedAttempts bounds the attempts kept of one request, and maxCrashedRequests the requests.
+	maxCrashedAttempts = 32
+	maxCrashedRequests = 4096
+)
 
 // RecordCrash records that a target crashed while it ran a request since startedAt, and reports whether the request is
 // refused from now on.
@@ -47,47 +61,159 @@
 	}) {
 		return false
 	}
-	wasMarked := consecutiveCrashes(list) >= maxConsecutiveCrashes
+	wasMarked := len(c.CountedCrashes(digest)) >= maxConsecutiveCrashes
 	list = append(list, crashedAttempt{target, startedAt, crashedAt})
 	slices.SortStableFunc(list, func(a, b crashedAttempt) int { return a.crashedAt.Compare(b.crashedAt) })
 	list = list[max(len(list)-maxCrashedAttempts, 0):]
+	if len(c.attempts) >= maxCrashedRequests && len(list) == 1 {
+		c.dropOldest()
+	}
 	c.attempts[digest] = list
-	return !wasMarked && consecutiveCrashes(list) >= maxConsecutiveCrashes
+	c.recordTarget(target, crashedAt)
+	return !wasMarked && len(c.CountedCrashes(digest)) >= maxConsecutiveCrashes
 }
 
-// consecutiveCrashes returns the largest number of attempts that followed one another, from a list ordered by the times of
-// the crashes.
-func consecutiveCrashes(list []crashedAttempt) int {
-	n, last := 0, time.Time{}
-	for _, a := range list {
-		if n == 0 || !a.startedAt.Before(last) {
-			n, last = n+1, a.crashedAt
+// recordTarget records that a target has crashed; several requests and instances report each crash.
+func (c *CrashCounter) recordTarget(target string, at time.Time) {
+	if target == "" || slices.ContainsFunc(c.crashes, func(k crashedTarget) bool { return k.target == target && k.at.Sub(at).Abs() < sameCrashWindow }) {
+		return
+	}
+	c.crashes = append(c.crashes, crashedTarget{target, at})
+	c.crashes = c.crashes[max(len(c.crashes)-maxPartCrashes, 0):]
+}
+
+// hasCommonCause reports whether so many targets that did not run the request crashed at the moment of an attempt's crash that it is
+// not the cause.
+func (c *CrashCounter) hasCommonCause(a crashedAttempt, list []crashedAttempt) bool {
+	without := 0
+	for _, k := range c.crashes {
+		if k.at.Sub(a.crashedAt).Abs() <= commonCauseWindow && !slices.ContainsFunc(list, func(own crashedAttempt) bool { return own.target == k.target }) {
+			without++
 		}
 	}
-	return n
+	return without >= minCommonCause
 }
 
 // RecordSuccess records that a target finished a request, and reports whether the request was
 // suspected.
 func (c *CrashCounter) RecordSuccess(digest string) bool {
 	_, known := c.attempts[digest]
-	delete(c.attempts, digest)
+	c.forget(digest)
 	return known
 }
 
+// BeginTrial reports whether a request that is refused may run at the instance of a rank to test whether it still crashes its target,
+// and counts it if so. RecordSuccess ends the refusal.
+func (c *CrashCounter) BeginTrial(now time.Time, digest string, rank int) bool {
+	return c.IsMarked(now, digest) && c.trialsOf(digest).begin(now, c.lastCrash(digest), rank)
+}
+
+// NextTrial returns when a request that is refused may run again.
+func (c *CrashCounter) NextTrial(digest string) time.Time {
+	return c.trialsOf(digest).nextAt(c.lastCrash(digest))
+}
+
+// RecordTrials records trials of a request at other instances.
+func (c *CrashCounter) RecordTrials(digest string, trials Trials) {
+	if len(c.attempts[digest]) > 0 {
+		c.trialsOf(digest).merge(trials)
+	}
+}
+
+// Trials returns the trials of a request.
+func (c *CrashCounter) Trials(digest string) Trials { return *c.trialsOf(digest) }
+
+func (c *CrashCounter) trialsOf(digest string) *Trials {
+	if t := c.trials[digest]; t != nil {
+		return t
+	}
+	t := &Trials{}
+	if len(c.attempts[digest]) > 0 {
+		if c.trials == nil {
+			c.trials = map[string]*Trials{}
+		}
+		c.trials[digest] = t
+	}
+	return t
+}
+
+// Marked returns up to n requests that must be refused, those with the latest crashes, in order.
+func (c *CrashCounter) Marked(now time.Time, n int) []string {
+	c.dropExpired(now)
+	var list []string
+	for digest := range c.attempts {
+		if len(c.CountedCrashes(digest)) >= maxConsecutiveCrashes {
+			list = append(list, digest)
+		}
+	}
+	slices.SortFunc(list, func(a, b string) int { return cmp.Or(c.lastCrash(b).Compare(c.lastCrash(a)), cmp.Compare(a, b)) })
+	list = list[:min(len(list), n)]
+	slices.Sort(list)
+	return list
+}
+
+// lastCrash returns when a target last crashed while it ran a request.
+func (c *CrashCounter) lastCrash(digest string) time.Time {
+	list := c.attempts[digest]
+	if len(list) == 0 {
+		return time.Time{}
+	}
+	return list[len(list)-1].crashedAt
+}
+
+// CountedCrashes returns the crashes that count against a request: those of attempts that followed one another, and that have no common
+// cause with others.
+func (c *CrashCounter) CountedCrashes(digest string) []CountedCrash {
+	var out []CountedCrash
+	list := c.attempts[digest]
+	for _, a := range list {
+		if c.hasCommonCause(a, list) {
+			continue
+		}
+		if len(out) == 0 || !a.startedAt.Before(out[len(out)-1].At) {
+			out = append(out, CountedCrash{Target: a.target, At: a.crashedAt, StartedAt: a.startedAt})
+		}
+	}
+	return out
+}
+
+// CountedCrash is a crash that counts against a request.
+type CountedCrash struct {
+	Target    string
+	At        time.Time
+	StartedAt time.Time
+}
+
+func (c *CrashCounter) forget(digest string) {
+	delete(c.attempts, digest)
+	delete(c.trials, digest)
+}
+
+// dropOldest forgets the request whose last crash is the longest ago.
+func (c *CrashCounter) dropOldest() {
+	oldest := ""
+	for digest := range c.attempts {
+		if oldest == "" || c.lastCrash(digest).Before(c.lastCrash(oldest)) {
+			oldest = digest
+		}
+	}
+	c.forget(oldest)
+}
+
 // IsMarked reports whether a request must be refused.
 func (c *CrashCounter) IsMarked(now time.Time, digest string) bool {
 	c.dropExpired(now)
-	return consecutiveCrashes(c.attempts[digest]) >= maxConsecutiveCrashes
+	return len(c.CountedCrashes(digest)) >= maxConsecutiveCrashes
 }
 
 // Empty reports whether no request is suspected.
 func (c *CrashCounter) Empty() bool { return len(c.attempts) == 0 }
 
 func (c *CrashCounter) dropExpired(now time.Time) {
+	c.crashes = slices.DeleteFunc(c.crashes, func(k crashedTarget) bool { return now.Sub(k.at) > c.Retention })
 	for digest, list := range c.attempts {
 		if now.Sub(list[len(list)-1].crashedAt) > c.Retention {
-			delete(c.attempts, digest)
+			c.forget(digest)
 		}
 	}
 }
--- a/pkg/booking/partmark.go
+++ b/pkg/booking/partmark.go
@@ -20,6 +20,18 @@
 	// With holds the further parts that a request must have to be refused, in order: they came together with Part so far, so that
 	// it is not known which of them crashes targets.
 	With []string
+	// Trials are the requests that were let through since.
+	Trials Trials
+}
+
+// NextTrial returns when a request may test the mark.
+func (m *PartMark) NextTrial() time.Time { return m.Trials.nextAt(m.LastCrash) }
+
+// BeginTrial reports whether a request may run to test the mark of a part at the instance of a rank, and counts it if so. Its answer
+// clears the mark.
+func (d *PartCrashDetector) BeginTrial(now time.Time, part string, rank int) bool {
+	m := d.marks[part]
+	return m != nil && m.Trials.begin(now, m.LastCrash, rank)
 }
 
 // parts returns all parts of the mark.
@@ -54,6 +66,7 @@
 		return
 	}
 	known.With = slices.DeleteFunc(slices.Clone(known.With), func(part string) bool { return !slices.Contains(m.With, part) })
+	known.Trials.merge(m.Trials)
 }
 
 // clearMarks removes a part of which an answer began at a time from the marks for earlier crashes, and reports whether
