Keep the look-up of refused requests cheap, and old crashes from hiding a part

Callers saw: nothing. With crashes kept for 2 h, each check of a request went through all of them (up to 4,096) and hashed its body again, and crashes of the last 2 h with other causes would have kept a part from being at nine in ten of all.

Change: what no longer counts is dropped at most once a second, a request's digest is kept, and the share of the crashes is taken over 10 minutes, or for the rule of chance from 30 s before the first crash with the part on.

--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -131,14 +131,17 @@
 
 func (e *CrashMessageError) Error() string { return "crash message: " + e.Field }
 
-// digest identifies a request by its API key, host, method, request target and body.
+// digest identifies a request by its API key, host, method, request target and body, which has been read.
 func (req *callerRequest) digest() string {
-	h := xxhash.New()
-	for _, part := range []string{req.APIKey, req.http.Host, req.http.Method, requestTarget(req.http)} {
-		_, _ = h.WriteString(part + "\n")
-	}
-	_, _ = h.Write(req.body)
-	return strconv.FormatUint(h.Sum64(), 16)
+	req.digestOnce.Do(func() {
+		h := xxhash.New()
+		for _, part := range []string{req.APIKey, req.http.Host, req.http.Method, requestTarget(req.http)} {
+			_, _ = h.WriteString(part + "\n")
+		}
+		_, _ = h.Write(req.body)
+		req.contentDigest = strconv.FormatUint(h.Sum64(), 16)
+	})
+	return req.contentDigest
 }
 
 // isMarked reports whether a request is refused because it or a part of its prompt crashes targets.
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,6 +45,9 @@
 	poolName  string
 	startedAt time.Time
 	deadline  time.Time
+	// digestOnce guards contentDigest, the result of digest.
+	digestOnce    sync.Once
+	contentDigest string
 	// trial is trialAdmitted while the request runs to test a mark.
 	trial atomic.Int32
 	// attemptCount is the number of attempts so far.
--- a/pkg/booking/crashcounter.go
+++ b/pkg/booking/crashcounter.go
@@ -25,6 +25,8 @@
 	trials map[string]*Trials
 	// crashes holds the last crashes of targets, whatever requests they ran.
 	crashes []crashedTarget
+	// droppedAt is when what no longer counts was forgotten.
+	droppedAt time.Time
 }
 
 // crashedTarget is a crash of a target.
@@ -44,6 +46,8 @@
 	// maxCrashedAttempts bounds the attempts kept of one request, and maxCrashedRequests the requests.
 	maxCrashedAttempts = 32
 	maxCrashedRequests = 4096
+	// dropInterval is the least time between two looks for what no longer counts.
+	dropInterval = time.Second
 )
 
 // RecordCrash records that a target crashed while it ran a request since startedAt, and reports whether the request is
@@ -51,7 +55,6 @@
 //
 // Crashes may be recorded in any order. Several reports of one crash count once if they name its target.
 func (c *CrashCounter) RecordCrash(crashedAt, startedAt time.Time, target, digest string) (marked bool) {
-	c.dropExpired(crashedAt)
 	if c.attempts == nil {
 		c.attempts = map[string][]crashedAttempt{}
 	}
@@ -64,6 +67,8 @@
 	wasMarked := len(c.CountedCrashes(digest)) >= maxConsecutiveCrashes
 	list = append(list, crashedAttempt{target, startedAt, crashedAt})
 	slices.SortStableFunc(list, func(a, b crashedAttempt) int { return a.crashedAt.Compare(b.crashedAt) })
+	latest := list[len(list)-1].crashedAt
+	list = slices.DeleteFunc(list, func(a crashedAttempt) bool { return latest.Sub(a.crashedAt) > c.Retention })
 	list = list[max(len(list)-maxCrashedAttempts, 0):]
 	if len(c.attempts) >= maxCrashedRequests && len(list) == 1 {
 		c.dropOldest()
@@ -203,13 +208,21 @@
 // IsMarked reports whether a request must be refused.
 func (c *CrashCounter) IsMarked(now time.Time, digest string) bool {
 	c.dropExpired(now)
+	if list := c.attempts[digest]; len(list) < maxConsecutiveCrashes || now.Sub(c.lastCrash(digest)) > c.Retention {
+		return false
+	}
 	return len(c.CountedCrashes(digest)) >= maxConsecutiveCrashes
 }
 
 // Empty reports whether no request is suspected.
 func (c *CrashCounter) Empty() bool { return len(c.attempts) == 0 }
 
+// dropExpired forgets what no longer counts, at most once in dropInterval.
 func (c *CrashCounter) dropExpired(now time.Time) {
+	if now.Sub(c.droppedAt).Abs() < dropInterval {
+		return
+	}
+	c.droppedAt = now
 	c.crashes = slices.DeleteFunc(c.crashes, func(k crashedTarget) bool { return now.Sub(k.at) > c.Retention })
 	for digest, list := range c.attempts {
 		if now.Sub(list[len(list)-1].crashedAt) > c.Retention {
--- a/pkg/booking/partcrash.go
+++ b/pkg/booking/partcrash.go
@@ -48,6 +48,8 @@
 	// maxChance is the chance of the crashes of a part, if it had been at as many as its share among the answers makes likely, up to
 	// which it is marked without answers since.
 	maxChance = 1e-3
+	// crashesBefore is the time before the first crash with a part in which crashes without it speak for another cause.
+	crashesBefore = 30 * time.Second
 	// minKnownAnswers is the number of answers that must be known to judge a part by its share among them.
 	minKnownAnswers = 2
 	// sharedAnswers is the number of answers within sharedAnswerTime from which on an instance shares no more of its own with others.
--- a/pkg/booking/partcrash_model_test.go
+++ b/pkg/booking/partcrash_model_test.go
@@ -400,11 +400,11 @@
 // itself.
 func TestGuiltyPartIsFoundWithLittleTraffic(t *testing.T) {
 	for _, c := range []struct {
-		instances, engines int
-		soundRate, badRate float64
-		before, after      time.Duration
-		seeds              int
-		template           bool
+		instances, engines  int
+		soundRate, badRate  float64
+		before, after       time.Duration
+		seeds               int
+		template, unrelated bool
 	}{
 		{instances: 8, engines: 12, soundRate: 0.5, badRate: 1, before: 15 * time.Second, after: 60 * time.Second, seeds: 200, template: true},
 		{instances: 8, engines: 12, soundRate: 0.5, badRate: 0.2, before: 15 * time.Second, after: 120 * time.Second, seeds: 200, template: true},
@@ -412,8 +412,9 @@
 		{instances: 8, engines: 12, soundRate: 0.5, badRate: 1, before: 30 * time.Second, after: 60 * time.Second, seeds: 200},
 		{instances: 30, engines: 40, soundRate: 0.2, badRate: 1, before: 120 * time.Second, after: 60 * time.Second, seeds: 50, template: true},
 		{instances: 295, engines: 300, soundRate: 0.2, badRate: 1, before: 120 * time.Second, after: 30 * time.Second, seeds: 5, template: true},
+		{instances: 8, engines: 12, soundRate: 2, badRate: 1, before: 30 * time.Second, after: 60 * time.Second, seeds: 50, template: true, unrelated: true},
 	} {
-		t.Run(fmt.Sprintf("%d instances, %.1f sound, %.1f bad, template %t", c.instances, c.soundRate, c.badRate, c.template), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d instances, %.1f sound, %.1f bad, template %t, unrelated crashes %t", c.instances, c.soundRate, c.badRate, c.template, c.unrelated), func(t *testing.T) {
 			worst, sum := 0, 0
 			for seed := range modelSeeds(c.instances, c.seeds) {
 				m := newPartModel(uint64(seed), c.instances, c.engines)
@@ -422,6 +423,14 @@
 				}
 				// A request is refused after it has crashed three targets.
 				m.maxAttempts = 3
+				for range 20 {
+					// Engines end for other reasons, in the last half an hour.
+					if c.unrelated {
+						m.crashShare(1. / 4)
+						m.run(90*time.Second, c.soundRate, 0)
+					}
+				}
+				m.crashes = nil
 				m.run(c.before, c.soundRate, 0)
 				m.guilty["guilty"] = true
 				m.run(c.after, c.soundRate, c.badRate)
--- a/pkg/booking/partevidence.go
+++ b/pkg/booking/partevidence.go
@@ -119,7 +119,7 @@
 			begunSince++
 		}
 	}
-	if d.explainsOutage(e) || d.exceedsChance(now, e) {
+	if d.explainsOutage(now, e) || d.exceedsChance(now, e) {
 		return true
 	}
 	if _, served := d.LastServed(now, e.part); served || recent < minRecentAnswers {
@@ -131,7 +131,7 @@
 // exceedsChance reports whether a part was present at more crashes than it would be if its requests did not cause them: each one lost
 // in a crash then has the part as often as those that were answered.
 func (d *PartCrashDetector) exceedsChance(now time.Time, e *partEvidence) bool {
-	if e.crashes < minServedPartCrashes || 10*e.present < 9*len(d.crashes) {
+	if e.crashes < minServedPartCrashes || !d.wasAtMost(e, e.first.Add(-crashesBefore)) {
 		return false
 	}
 	known, with := 0, 0
@@ -244,7 +244,7 @@
 
 // explainsOutage reports whether a part that few requests have was present at most crashes. That holds also
 // while nothing is served, since its requests crash all targets.
-func (d *PartCrashDetector) explainsOutage(e *partEvidence) bool {
+func (d *PartCrashDetector) explainsOutage(now time.Time, e *partEvidence) bool {
 	if e.crashes < minServedPartCrashes || len(d.arrivals) < minArrivals {
 		return false
 	}
@@ -254,5 +254,16 @@
 			with++
 		}
 	}
-	return 2*with <= len(d.arrivals) && 10*e.present >= 9*len(d.crashes)
+	return 2*with <= len(d.arrivals) && d.wasAtMost(e, now.Add(-answerMemory))
+}
+
+// wasAtMost reports whether a part was present at nine in ten of the crashes since a time that no mark explains.
+func (d *PartCrashDetector) wasAtMost(e *partEvidence, since time.Time) bool {
+	n := 0
+	for i := range d.crashes {
+		if c := &d.crashes[i]; !c.at.Before(since) && !d.isExplained(c) {
+			n++
+		}
+	}
+	return 10*e.present >= 9*n
 }
