Bound what is sent about losses without a verdict

Callers saw: nothing.

Change: only losses after a refusal are sent before their verdict, one a second and instance. The instance that lost a request sends the verdict as a crash, three times.

Measured: TestRequestThatCrashesSmallPoolIsRefused and the tests of crashes in internal/relay pass. The traffic was not measured.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -293,7 +293,7 @@
 	if result.Unreachable && a.sent && reason == reasonConnectionLost {
 		a.relay.checkForCrash(a)
 	} else if a.lostInSilence(complete, reason) {
-		a.relay.reportUnconfirmed(a, now, false)
+		a.relay.recordUnconfirmed(now, a, now, false)
 	}
 	if complete && !a.info.NotRun {
 		a.relay.Crashes.recordServed(a.req)
--- a/internal/relay/crash_parts.go
+++ b/internal/relay/crash_parts.go
@@ -51,6 +51,8 @@
 type partMarks struct {
 	detector booking.PartCrashDetector
 	limiter  *rate.Limiter
+	// unconfirmedLimiter bounds the reports on losses without a verdict.
+	unconfirmedLimiter *rate.Limiter
 	// reportedServed is when this instance last reported that a part is served.
 	reportedServed map[string]time.Time
 	// own holds the marks that this instance has set.
@@ -62,6 +64,7 @@
 func (p *partMarks) init() {
 	if p.limiter == nil {
 		p.limiter = rate.NewLimiter(partReportsPerSecond, partReportBurst)
+		p.unconfirmedLimiter = rate.NewLimiter(unconfirmedReportsPerSecond, unconfirmedReportBurst)
 		p.reportedServed, p.reportedRefusal, p.own = map[string]time.Time{}, map[string]time.Time{}, map[string]bool{}
 		p.detector.Retention, p.detector.MarkTime = partRetention, partMarkTime
 	}
@@ -328,6 +331,7 @@
 		c.broadcast(&crashMessage{Marks: []markMessage{m}})
 	}
 	c.repeatTrials(now)
+	c.repeatConfirmed(now)
 }
 
 // dropUnmarked deletes the state of marks that no longer exist; the caller holds the lock.
--- a/internal/relay/crash_unconfirmed.go
+++ b/internal/relay/crash_unconfirmed.go
@@ -16,19 +16,38 @@
 	leaving bool
 }
 
-// reportUnconfirmed records and broadcasts that a request was lost at a target that may have crashed, until the list of targets
-// shows whether it has.
-func (r *Relay) reportUnconfirmed(a *attempt, lostAt time.Time, refused bool) {
-	loss := booking.UnconfirmedCrash{Target: a.target.ID, Address: a.target.Address, LostAt: lostAt, StartedAt: a.startedAt, Request: a.req.digest(), Parts: a.suspectParts(lostAt), Refused: refused}
-	if !r.Crashes.recordUnconfirmed(time.Now(), loss) {
+const (
+	// unconfirmedReportsPerSecond and unconfirmedReportBurst bound the reports of one instance on losses without a verdict: an instance
+	// whose links are cut loses many requests at once.
+	unconfirmedReportsPerSecond = 1
+	unconfirmedReportBurst      = 3
+	// confirmedRepeats is how often the verdict on a loss is sent again, and maxConfirmedReports bounds those that are.
+	confirmedRepeats    = 2
+	maxConfirmedReports = 64
+)
+
+// confirmedReport is a verdict on a loss that is sent again.
+type confirmedReport struct {
+	loss booking.UnconfirmedCrash
+	left int
+}
+
+// recordUnconfirmed records that a request was lost at a target that may have crashed, until the list of targets shows whether it
+// has.
+func (r *Relay) recordUnconfirmed(now time.Time, a *attempt, lostAt time.Time, refused bool) {
+	loss := booking.UnconfirmedCrash{
+		Target: a.target.ID, Address: a.target.Address, LostAt: lostAt, StartedAt: a.startedAt,
+		Request: a.req.digest(), Parts: a.suspectParts(lostAt), Refused: refused, Own: true,
+	}
+	if !r.Crashes.recordUnconfirmed(now, loss) {
 		return
 	}
 	message := &crashMessage{Digest: loss.Request, Target: loss.Target, Unconfirmed: &unconfirmedMessage{Address: loss.Address, Refused: refused, Parts: loss.Parts}}
 	r.startProbe(func() { r.reportCrash(a, lostAt, message) })
 }
 
-// recordUnconfirmed records a loss and reports whether the other instances are to receive it. A target that is not listed yet can't
-// be told from one that has been replaced.
+// recordUnconfirmed records a loss and reports whether the other instances are to receive it at once: after a refusal, since the verdict
+// is due soon. A target that is not listed yet can't be told from one that has been replaced.
 func (c *CrashTracker) recordUnconfirmed(now time.Time, loss booking.UnconfirmedCrash) (report bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -37,7 +56,7 @@
 	}
 	c.parts.init()
 	c.unconfirmed.Record(now, loss)
-	return c.parts.limiter.AllowN(now, 1)
+	return loss.Own && loss.Refused && c.parts.unconfirmedLimiter.AllowN(now, 1)
 }
 
 // ObserveTargets applies the targets of all pools that are listed now: a target that has ended without leaving has crashed.
@@ -83,12 +102,22 @@
 	return booking.TargetGone
 }
 
-// countConfirmed counts a loss against its request and its parts.
+// countConfirmed counts a loss against its request and its parts, and reports an own one.
 func (c *CrashTracker) countConfirmed(now time.Time, loss *booking.UnconfirmedCrash) {
 	marked := c.recordCrash(loss.LostAt, loss.StartedAt, loss.Target, loss.Request)
-	if len(loss.Parts) > 0 {
-		c.recordPartCrash(now, booking.PartCrash{Target: loss.Target, At: loss.LostAt, Request: loss.Request, Parts: loss.Parts})
+	report := false
+	withLock(&c.mu, func() {
+		if len(loss.Parts) > 0 {
+			c.parts.detector.RecordCrash(now, booking.PartCrash{Target: loss.Target, At: loss.LostAt, Request: loss.Request, Parts: loss.Parts})
+		}
+		if report = loss.Own && c.parts.limiter.AllowN(now, 1); report {
+			c.confirmed = append(c.confirmed[max(len(c.confirmed)-maxConfirmedReports+1, 0):], confirmedReport{*loss, confirmedRepeats})
+		}
+	})
+	if report {
+		c.broadcastConfirmed(now, loss)
 	}
+	c.decide(now)
 	if c.Log == nil {
 		return
 	}
@@ -97,3 +126,25 @@
 		Decision: map[bool]string{true: "refuse " + loss.Request, false: "counted"}[marked], Inputs: []timeline.Input{{Name: "lost_ms", Value: now.Sub(loss.LostAt).Milliseconds()}},
 	})
 }
+
+func (c *CrashTracker) broadcastConfirmed(now time.Time, loss *booking.UnconfirmedCrash) {
+	c.broadcast(&crashMessage{
+		Digest: loss.Request, Certain: true, Target: loss.Target, Parts: loss.Parts,
+		AgeMillis: now.Sub(loss.LostAt).Milliseconds(), AttemptAgeMillis: now.Sub(loss.StartedAt).Milliseconds(),
+	})
+}
+
+// repeatConfirmed sends the latest verdicts on own losses again.
+func (c *CrashTracker) repeatConfirmed(now time.Time) {
+	var due []confirmedReport
+	withLock(&c.mu, func() {
+		due = slices.Clone(c.confirmed)
+		for i := range c.confirmed {
+			c.confirmed[i].left--
+		}
+		c.confirmed = slices.DeleteFunc(c.confirmed, func(r confirmedReport) bool { return r.left <= 0 })
+	})
+	for i := range due {
+		c.broadcastConfirmed(now, &due[i].loss)
+	}
+}
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -44,8 +44,9 @@
 	mu      sync.Mutex
 	counter booking.CrashCounter
 	parts   partMarks
-	// unconfirmed holds losses at targets that may have crashed.
+	// unconfirmed holds losses at targets that may have crashed, and confirmed the latest verdicts on own ones.
 	unconfirmed booking.UnconfirmedCrashes
+	confirmed   []confirmedReport
 	// pools holds the targets that are listed, and targets the same by their addresses, or nil until it is needed.
 	pools   map[string][]route.Target
 	targets map[netip.AddrPort][]listedTarget
@@ -242,7 +243,7 @@
 		}
 		r.logCrashCheck(time.Now(), a, lostAt, err)
 		if err != nil && !isCrash(err) {
-			r.reportUnconfirmed(a, lostAt, isRefusal(err))
+			r.recordUnconfirmed(time.Now(), a, lostAt, isRefusal(err))
 		}
 		if !isCrash(err) {
 			return
--- a/pkg/booking/unconfirmed.go
+++ b/pkg/booking/unconfirmed.go
@@ -28,6 +28,8 @@
 	Parts   []string
 	// Refused is set if the address refused a new connection.
 	Refused bool
+	// Own is set if this instance has lost the request.
+	Own bool
 }
 
 // TargetFate is what the list of targets shows about a target.
