Keep what is known of a part that is marked again with others

Callers saw: nothing. A mark of a part with one companion was replaced by one with another companion, so that the first combination was let through until targets crashed for it again.

Change: such a mark needs only the companions that both have.

Measured: the plays of pkg/booking pass. Found by reading; in the plays two crashes with another companion take the first one out before.

--- a/pkg/booking/partevidence.go
+++ b/pkg/booking/partevidence.go
@@ -69,8 +69,13 @@
 			for _, companion := range g[1:] {
 				m.With = append(m.With, companion.part)
 			}
-			d.setMark(now, m)
-			marked = append(marked, m)
+			if d.marks[m.Part] == nil {
+				d.setMark(now, m)
+			} else {
+				// The part has come with others before, so these are not needed.
+				d.mergeMark(&m)
+			}
+			marked = append(marked, *d.marks[m.Part])
 		}
 	}
 }
