--- a/internal/relay/crash_trial.go
+++ b/internal/relay/crash_trial.go
@@ -73,7 +73,7 @@
 	return true
 }
 
-// repeatTrials broadcasts again the trials of requests that this instance has begun within markRepeatTime.
+// repeatTrials rebroadcasts the trials of requests that this instance began within markRepeatTime.
 func (c *CrashTracker) repeatTrials(now time.Time) {
 	var messages []crashMessage
 	withLock(&c.mu, func() {
--- a/internal/relay/crashes.go
+++ b/internal/relay/crashes.go
@@ -23,8 +23,7 @@
 const (
 	// crashRetention is how long a crash counts against a request: one that is repeated by a schedule may come back once in some minutes.
 	crashRetention = 2 * time.Hour
-	// minMarkedRetryAfter is the least time after which a caller may retry a request that crashes targets; it is told when the next
-	// trial may begin.
+	// minMarkedRetryAfter is the minimum Retry-After of a refusal because of crashes, which otherwise names the next trial.
 	minMarkedRetryAfter = 30 * time.Second
 )
 
@@ -52,7 +51,7 @@
 	targets map[netip.AddrPort][]listedTarget
 	// refusalReports holds when this instance last reported that it refuses a request.
 	refusalReports map[string]time.Time
-	// ownTrials holds the requests of which this instance has begun trials just now.
+	// ownTrials holds the digests of requests whose trials this instance began within markRepeatTime.
 	ownTrials []string
 }
 
--- a/pkg/booking/crashcounter.go
+++ b/pkg/booking/crashcounter.go
@@ -25,7 +25,7 @@
 	trials map[string]*Trials
 	// crashes holds the last crashes of targets, whatever requests they ran.
 	crashes []crashedTarget
-	// droppedAt is when what no longer counts was forgotten.
+	// droppedAt is the time of the last deletion of expired crashes.
 	droppedAt time.Time
 }
 
@@ -46,7 +46,7 @@
 	// maxCrashedAttempts bounds the attempts kept of one request, and maxCrashedRequests the requests.
 	maxCrashedAttempts = 32
 	maxCrashedRequests = 4096
-	// dropInterval is the least time between two looks for what no longer counts.
+	// dropInterval is the minimum time between two deletions of expired crashes.
 	dropInterval = time.Second
 )
 
@@ -194,7 +194,7 @@
 	delete(c.trials, digest)
 }
 
-// dropOldest forgets the request whose last crash is the longest ago.
+// dropOldest deletes the request with the earliest last crash.
 func (c *CrashCounter) dropOldest() {
 	oldest := ""
 	for digest := range c.attempts {
@@ -217,7 +217,7 @@
 // Empty reports whether no request is suspected.
 func (c *CrashCounter) Empty() bool { return len(c.attempts) == 0 }
 
-// dropExpired forgets what no longer counts, at most once in dropInterval.
+// dropExpired deletes crashes older than Retention, at most once in dropInterval.
 func (c *CrashCounter) dropExpired(now time.Time) {
 	if now.Sub(c.droppedAt).Abs() < dropInterval {
 		return
--- a/pkg/booking/partcrash.go
+++ b/pkg/booking/partcrash.go
@@ -57,8 +57,8 @@
 	sharedAnswerTime = 5 * time.Second
 	// unthinnedAnswers is the number of own answers within sharedAnswerTime up to which an instance may share each of them.
 	unthinnedAnswers = 3
-	// answerSharers is the number of answers that all instances together share if none hears of the others' in time, in multiples of
-	// sharedAnswers.
+	// answerSharers bounds the expected number of answers that all instances share within sharedAnswerTime, in multiples of
+	// sharedAnswers, if their messages cross.
 	answerSharers = 4
 	// maxMarkAge is how long a part is refused at most, so that a repaired target is found.
 	maxMarkAge = 24 * time.Hour
