review: case 11, answers with faulty framing reach callers as successes

Two of four engines spoil each 34th answer for 5 s: HTTP/1.0 with chunks, or a Content-Length beside the chunks of half a body. Each spoiled answer reaches its caller as a complete 200 with the engine's seal and a wrong body.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -20,6 +20,7 @@
 	"bodies":      playBodies,
 	"key":         playKey,
 	"descriptors": playDescriptors,
+	"framing":     playFraming,
 }
 
 // The exit statuses of a case.
