review: case 15, a lowered limit of an engine that is found before its entry

An engine crashes, is back after 1.2 s under another id, and its entry follows 1.1 s later. It names a limit of 8 requests a second, and later of 1, which the instances never apply.

--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -57,11 +57,16 @@
 
 // serve lists the engine in the store and accepts connections until its listener is closed.
 func (e *engine) serve(s *store) {
+	e.list(s)
+	go e.accept()
+}
+
+// list writes the engine's entry.
+func (e *engine) list(s *store) {
 	s.put("servers/"+e.id, map[string]any{
 		"service": e.service, "address": e.address().String(), "zone": e.zone, "version": "v1", "slots": 64, "state": "ready",
 		"coldLeftMs": 0, "seq": 1, "born": e.born.UnixMilli(),
 	})
-	go e.accept()
 }
 
 func (e *engine) address() netip.AddrPort { return e.listener.Addr().(*net.TCPAddr).AddrPort() }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -21,6 +21,7 @@
 	"key":         playKey,
 	"descriptors": playDescriptors,
 	"framing":     playFraming,
+	"successor":   playSuccessor,
 }
 
 // The exit statuses of a case.
