review: remove unused parts of the stand-in of the store

A hook for lost answers and a look-up of keys, which no scenario uses any more. It adds no case and changes what none shows.

--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -47,9 +47,7 @@
 	revision int64
 	leases   map[int64]time.Time
 	ttl      map[int64]time.Duration
-	// loseAnswer, if set, decides on a write whose answer is lost: it is carried out after the returned time.
-	loseAnswer func(in *txn) (later time.Duration, lost bool)
-	done       chan struct{}
+	done     chan struct{}
 }
 
 func startStore() (*store, error) {
@@ -90,14 +88,6 @@
 	s.write(key, data, 0)
 }
 
-// has reports whether a key exists.
-func (s *store) has(key string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, ok := s.items[key]
-	return ok
-}
-
 // write writes a key; the caller holds mu.
 func (s *store) write(key string, value []byte, lease int64) {
 	s.revision++
@@ -210,14 +200,6 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if s.loseAnswer != nil {
-		if later, lost := s.loseAnswer(in); lost {
-			time.AfterFunc(later, func() { s.commit(in) })
-			// The answer is lost: the channel brings nothing further.
-			<-r.Context().Done()
-			return
-		}
-	}
 	status, body := s.commit(in)
 	respond(w, status, body)
 }
